--- /dev/null
+++ b/src/main/java/sorrelhoist/Decide.java
@@ -0,0 +1,960 @@
+package sorrelhoist;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import sorrelhoist.Routing.*;
+
+/**
+ * Every decision of a router, in one place. Its settings, events and actions are the records of {@link Routing}.
+ *
+ * <p>One instance serves one router and is called by one thread. The caller owns time: {@code now} is its clock in
+ * microseconds and never goes back. Randomness comes from the seed alone: equal events give equal actions.
+ *
+ * <p>The ordinary path is the project's design (docs/design.md): a reader by exploit, explore or hash; after the
+ * read a writer near it by two draws. What comes after it in this file acts only when something is wrong.
+ */
+public final class Decide {
+    // ---- Constants: the design's defaults -------------------------------------------------------------------
+    /** H, microseconds: the sends that make up a reader's load L; the design's default. */
+    private static final long LOAD_WINDOW = 10_000_000;
+    /** W, microseconds: the requests that count as sharers of a kept key in M; the design's default. */
+    private static final long SHARER_WINDOW = 20_000_000;
+    /** Ratio of heaviest to lightest load beyond which exploiting traffic shifts; the design's default. */
+    private static final double SHIFT_THRESHOLD = 2;
+    /** Share of memory from which M counts: below it a read evicts little that anybody wants. */
+    private static final double NEAR_FULL = 0.9;
+    /** Microseconds after which an unused key is forgotten: a reader has then evicted it, or its session ended. */
+    private static final long KEY_AGE = 60_000_000;
+    /** Keys kept at most, so that the table's memory is bounded whatever clients send. */
+    private static final int MAX_KEYS = 50_000;
+    /** Share by which a past read weighs less after each new one in the learnt line: about 50 reads count. */
+    private static final double FIT_DECAY = 0.98;
+    /** Microseconds a token and a read take before any has been seen; a few reads outweigh it. */
+    private static final double FIRST_TOKEN_TIME = 60;
+    private static final double FIRST_READ_TIME = 30_000;
+
+    // ---- Constants: health and time-outs --------------------------------------------------------------------
+    /** Weight of the newest outcome in a server's share of failures: two failures running pass FAILING. */
+    private static final double OUTCOME_WEIGHT = 0.3;
+    /** Share of failures from which a server is set aside. */
+    private static final double FAILING = 0.5;
+    /** Weight of the newest time in a server's slowness: a few requests decide, one odd one does not. */
+    private static final double TIME_WEIGHT = 0.25;
+    /** Multiple of its peers' median slowness from which a server is set aside. */
+    private static final double SLOW = 2.5;
+    /** Times heard before slowness is judged. */
+    private static final int SLOW_SAMPLES = 3;
+    /** Good single requests in a row that bring a server back: one may be a failing server's luck. */
+    private static final int TRIALS = 2;
+    /** Microseconds before the first single request to a server set aside; doubles up to the second figure. */
+    private static final long TRIAL_WAIT = 500_000;
+    private static final long TRIAL_WAIT_MAX = 4_000_000;
+    /** Share of a role's servers always kept as candidates: a fault common to all must not empty the set. */
+    private static final double CANDIDATE_FLOOR = 0.34;
+    /** Microseconds for which a server that answered full is passed over where another is there. */
+    private static final long FULL_PAUSE = 200_000;
+    /** An attempt is cut at this multiple of the time expected for it ... */
+    private static final double CUT_FACTOR = 4;
+    /** ... but not before this many microseconds, so that queueing and jitter are not taken for death ... */
+    private static final long CUT_FLOOR = 400_000;
+    /** ... and within this share of the remaining time, so that another attempt fits. */
+    private static final double CUT_SHARE = 0.45;
+    /** Work-costing retries allowed for each arrival, and at most saved up: bounds a retry storm. */
+    private static final double RETRIES_PER_ARRIVAL = 0.3;
+    private static final double RETRIES_SAVED = 15;
+
+    // ---- Constants: holding, admission, guards --------------------------------------------------------------
+    /** Microseconds between looks for a writer while a state waits. */
+    private static final long HOLD_STEP = 20_000;
+    /** Share of the release limit for which a state may wait, the rest is for ticks and timers. */
+    private static final double HOLD_SHARE = 0.5;
+    /** Share of the warm mean that a cold server may get, of what the rule would bear: others' sends are unseen. */
+    private static final double COLD_SAFETY = 0.5;
+    /** Weight of the newest first-token time over its aim in the pressure. */
+    private static final double PRESSURE_WEIGHT = 0.05;
+    /** Pressure from which requests beyond their tenant's share are refused. */
+    private static final double OVER_SHARE_PRESSURE = 0.5;
+    /** Pressure from which any request may be refused, and the further rise at which nearly all would be. */
+    private static final double REFUSE_PRESSURE = 0.8;
+    private static final double REFUSE_SLOPE = 0.8;
+    private static final double REFUSE_MOST = 0.9;
+    /** Seconds of a tenant's share that it may save up, so that a short burst within its share passes. */
+    private static final double SHARE_SAVED = 2;
+    /** Microseconds between housekeeping looks. */
+    private static final long TICK = 250_000;
+    /** Microseconds between probes of a server, where reports come in probes alone. */
+    private static final long PROBE_EVERY = 1_000_000;
+    /** Microseconds before discovery is asked again after a failed call. */
+    private static final long ASK_AGAIN = 1_000_000;
+    /** Microseconds that clients are told to stay away for at least; a random part as long again is added. */
+    private static final long BACKOFF = 300_000;
+    private static final long TICK_TOKEN = 1L << 60;
+    private static final long ASK_TOKEN = TICK_TOKEN + 1;
+
+    private final Settings settings;
+    private final SplittableRandom random;
+    private final TreeMap<String, Peer> peers = new TreeMap<>();
+    private final Map<Long, Request> requests = new LinkedHashMap<>();
+    private final LinkedHashMap<String, Key> keys = new LinkedHashMap<>(256, 0.75f, true);
+    private final List<Line> readLines = new ArrayList<>();
+    private final Line firstTokens = new Line();
+    private final double[] tenantSaved;
+    private final long[] tenantAt;
+    private long now = Long.MIN_VALUE;
+    private boolean started;
+    private double retries = RETRIES_SAVED;
+    private double pressure;
+    private List<Action> out = new ArrayList<>();
+
+    /**
+     * A router's decisions, knowing nothing yet but its settings.
+     *
+     * @param settings what the router is told at start
+     * @param seed the only source of randomness
+     * @throws IllegalArgumentException naming the setting that is missing or inconsistent
+     */
+    public Decide(Settings settings, long seed) {
+        this.settings = checked(settings);
+        this.random = new SplittableRandom(seed);
+        settings.kinds().forEach(k -> readLines.add(new Line()));
+        tenantSaved = new double[settings.tenants().size()];
+        tenantAt = new long[settings.tenants().size()];
+    }
+
+    private static Settings checked(Settings s) {
+        require(s != null, "settings");
+        require(s.routers() > 0, "routers");
+        require(s.self() >= 0, "self");
+        require(s.reports() != null, "reports");
+        require(s.classes() != null && !s.classes().isEmpty() && !s.classes().contains(null), "classes");
+        require(s.tenants() != null && !s.tenants().contains(null), "tenants");
+        require(s.kinds() != null && !s.kinds().isEmpty() && !s.kinds().contains(null), "kinds");
+        require(s.limits() != null && s.limits().maxAttempts() > 0 && s.limits().maxBackoffMicros() >= 0, "limits");
+        require(s.rules() != null && s.rules().releaseMicros() > 0 && s.rules().coldFrom() > 0
+                && s.rules().coldMicros() >= 0 && s.rules().fallMultiple() > 0 && s.rules().fallMicros() > 0, "rules");
+        for (RequestClass c : s.classes()) {
+            require(c.aimMicros() > 0 && c.repeat() != null && c.scope() != null, "classes");
+        }
+        for (Kind k : s.kinds()) {
+            require(k.role() != null, "kinds");
+        }
+        return s;
+    }
+
+    private static void require(boolean holds, String setting) {
+        if (!holds) {
+            throw new IllegalArgumentException("setting missing or inconsistent: " + setting);
+        }
+    }
+
+    // ---- Event dispatch -------------------------------------------------------------------------------------
+
+    /**
+     * Takes one event and says what to do about it, in order.
+     *
+     * @param time the router's clock, microseconds, never less than before
+     * @param event what happened
+     * @return the actions to carry out at once; to take no action on a request is to hold it
+     */
+    public List<Action> on(long time, Event event) {
+        Objects.requireNonNull(event, "give an event; to pass time alone, ask for a Timer and report it");
+        if (time < now) {
+            throw new IllegalArgumentException("the clock went back from " + now + " to " + time
+                    + ": pass one monotonic clock to every call");
+        }
+        now = time;
+        out = new ArrayList<>();
+        if (!started) {
+            started = true;
+            act(new Timer(TICK, TICK_TOKEN));
+            if (settings.asksDiscovery()) {
+                act(new Follow(true));
+            }
+        }
+        if (event instanceof Arrived e) {
+            arrived(e);
+        } else if (event instanceof AttemptEnded e) {
+            attemptEnded(e);
+        } else if (event instanceof StreamStarted e) {
+            streamStarted(e);
+        } else if (event instanceof TimerFired e) {
+            timerFired(e.token());
+        } else if (event instanceof Members e) {
+            members(e);
+        } else if (event instanceof ProbeAnswered e) {
+            probeAnswered(e);
+        } else if (event instanceof ClientGone e) {
+            clientGone(e.id());
+        }
+        return out;
+    }
+
+    private void act(Action action) {
+        out.add(action);
+    }
+
+    private void timerFired(long token) {
+        if (token == TICK_TOKEN) {
+            tick();
+        } else if (token == ASK_TOKEN) {
+            act(new Follow(true));
+        } else {
+            Request r = requests.get(token);
+            if (r != null && !r.answered && now >= r.deadline) {
+                giveUp(r);
+            } else if (r != null && r.waits()) {
+                step(r);
+            }
+        }
+    }
+
+    private void tick() {
+        act(new Timer(TICK, TICK_TOKEN));
+        var eldest = keys.entrySet().iterator();
+        while (eldest.hasNext()) {
+            Key k = eldest.next().getValue();
+            if (keys.size() <= MAX_KEYS && k.used > now - KEY_AGE) {
+                break;
+            }
+            eldest.remove();
+        }
+        if (settings.limits().probes() && settings.reports() == Reports.IN_PROBES) {
+            for (Peer p : peers.values()) {
+                if (p.serving() && p.probedAt + PROBE_EVERY <= now) {
+                    p.probedAt = now;
+                    act(new Probe(p.id));
+                }
+            }
+        }
+    }
+
+    // ---- Ordinary path: the reader --------------------------------------------------------------------------
+
+    /** Exploit the holder of lowest cost when more matches than not; else explore; an unseen key goes by hash. */
+    private Peer pickReader(Request r, List<Peer> readers) {
+        Key session = find(r.session());
+        Key prefix = find(r.prefix());
+        for (Key key : new Key[] {session, prefix}) {
+            List<Peer> holders = readers.stream().filter(p -> 2 * kept(key, p, r) > r.prompt()).toList();
+            if (!holders.isEmpty()) {
+                return shifted(cheapest(holders, r, session, prefix), readers);
+            }
+        }
+        String unseen = r.prefix() != null ? r.prefix() : r.session();
+        if (unseen != null && prefix == null && session == null) {
+            return byHash(unseen, readers);
+        }
+        return cheapest(readers, r, session, prefix);
+    }
+
+    private Key find(String name) {
+        return name == null ? null : keys.get(name);
+    }
+
+    /** Tokens of this prompt that the key's entry says the reader keeps. */
+    private long kept(Key key, Peer p, Request r) {
+        Holder h = key == null ? null : key.holders.get(p.id);
+        long bound = key != null && key.name.equals(r.prefix()) ? r.arrival.prefixTokens() : r.prompt();
+        return h == null ? 0 : Math.min(h.tokens, bound);
+    }
+
+    private long missed(Peer p, Request r) {
+        return r.prompt() - Math.max(kept(find(r.session()), p, r), kept(find(r.prefix()), p, r));
+    }
+
+    private Peer cheapest(List<Peer> readers, Request r, Key session, Key prefix) {
+        Peer best = null;
+        double least = Double.MAX_VALUE;
+        for (Peer p : readers) {
+            long missed = r.prompt() - Math.max(kept(session, p, r), kept(prefix, p, r));
+            double cost = load(p) + evictionCost(p, missed) + readTime(p, missed);
+            if (cost < least) {
+                least = cost;
+                best = p;
+            }
+        }
+        return best;
+    }
+
+    /** L: missed-token read time over own sends within H. */
+    private double load(Peer p) {
+        while (!p.sends.isEmpty() && p.sends.peek().at < now - LOAD_WINDOW) {
+            p.load -= p.sends.poll().cost;
+        }
+        return p.sends.isEmpty() ? p.load = 0 : p.load;
+    }
+
+    /** M: recomputation of the oldest keys that the prompt would evict, times those that share each. */
+    private double evictionCost(Peer p, long missed) {
+        double cost = 0;
+        long freed = 0;
+        if (p.memory >= NEAR_FULL) {
+            for (Key k : keys.values()) {
+                Holder h = k.holders.get(p.id);
+                if (h != null && freed < missed) {
+                    freed += h.tokens;
+                    cost += readTime(p, h.tokens) * h.sharers(now - SHARER_WINDOW);
+                }
+            }
+        }
+        return cost;
+    }
+
+    private double readTime(Peer p, long tokens) {
+        return readLines.get(p.kind).at(tokens);
+    }
+
+    /** Shift: exploit traffic of the heaviest reader goes to the lightest while their loads lie too far apart. */
+    private Peer shifted(Peer chosen, List<Peer> readers) {
+        Peer lightest = chosen;
+        Peer heaviest = chosen;
+        for (Peer p : readers) {
+            lightest = load(p) < load(lightest) ? p : lightest;
+            heaviest = load(p) > load(heaviest) ? p : heaviest;
+        }
+        double bound = SHIFT_THRESHOLD * load(lightest) + readLines.get(chosen.kind).mean();
+        return chosen == heaviest && load(chosen) > bound ? lightest : chosen;
+    }
+
+    /** Highest hash of key and id wins: all routers agree, and a change of the list moves only its own keys. */
+    private static Peer byHash(String key, List<Peer> sorted) {
+        Peer best = null;
+        long most = 0;
+        for (Peer p : sorted) {
+            long h = mix(key.hashCode() * 0x9E3779B97F4A7C15L ^ p.id.hashCode());
+            if (best == null || h > most) {
+                most = h;
+                best = p;
+            }
+        }
+        return best;
+    }
+
+    private static long mix(long x) {
+        x = (x ^ x >>> 30) * 0xBF58476D1CE4E5B9L;
+        x = (x ^ x >>> 27) * 0x94D049BB133111EBL;
+        return x ^ x >>> 31;
+    }
+
+    /** A send makes the reader a likely holder of both keys; the outcome confirms or drops it. */
+    private void noteHolder(Request r, Peer p, boolean holds) {
+        note(r.session(), r.prompt(), p, holds);
+        note(r.prefix(), r.arrival.prefixTokens(), p, holds);
+    }
+
+    private void note(String name, long tokens, Peer p, boolean holds) {
+        if (name == null || tokens <= 0) {
+            return;
+        }
+        Key key = keys.computeIfAbsent(name, Key::new);
+        key.used = now;
+        if (holds) {
+            Holder h = key.holders.computeIfAbsent(p.id, id -> new Holder());
+            h.tokens = tokens;
+            h.seen.add(now);
+        } else {
+            key.holders.remove(p.id);
+        }
+    }
+
+    // ---- Ordinary path: the writer --------------------------------------------------------------------------
+
+    /** Two draws in the reader's cell, else its zone, else all; fewer own tokens under way wins. */
+    private Peer pickWriter(Peer reader, List<Peer> writers) {
+        List<Peer> near = writers.stream().filter(p -> p.cell == reader.cell).toList();
+        if (near.isEmpty()) {
+            near = writers.stream().filter(p -> p.zone == reader.zone).toList();
+        }
+        return lighterOfTwo(near.isEmpty() ? writers : near);
+    }
+
+    private Peer lighterOfTwo(List<Peer> from) {
+        if (from.isEmpty()) {
+            return null;
+        }
+        Peer a = from.get(random.nextInt(from.size()));
+        Peer b = from.get(random.nextInt(from.size()));
+        return b.tokens < a.tokens ? b : a;
+    }
+
+    /** Mixed servers take their share of the whole size, reading and answering it. */
+    private boolean goesMixed(List<Peer> readers, List<Peer> writers, List<Peer> mixed) {
+        double share = size(mixed);
+        double all = share + size(readers) + size(writers);
+        return !mixed.isEmpty() && (readers.isEmpty() || writers.isEmpty() || random.nextDouble() * all < share);
+    }
+
+    private static double size(List<Peer> of) {
+        return of.stream().mapToDouble(p -> p.size).sum();
+    }
+
+    // ---- Request life ---------------------------------------------------------------------------------------
+
+    private void arrived(Arrived a) {
+        if (a.cls() < 0 || a.cls() >= settings.classes().size()) {
+            throw new IllegalArgumentException("class " + a.cls() + " is not in the settings' classes");
+        }
+        if (requests.containsKey(a.id())) {
+            throw new IllegalArgumentException("request " + a.id() + " has arrived before: give each try a new id");
+        }
+        Request r = new Request(a, settings.classes().get(a.cls()), now);
+        requests.put(a.id(), r);
+        retries = Math.min(RETRIES_SAVED, retries + RETRIES_PER_ARRIVAL);
+        act(new Timer(Math.max(0, a.budgetMicros()), a.id()));
+        if (refusedAtDoor(r)) {
+            giveUp(r);
+        } else {
+            step(r);
+        }
+    }
+
+    /** Takes a request with no attempt out one stage further, or gives it up at once. */
+    private void step(Request r) {
+        int left = settings.limits().maxAttempts() - r.sends;
+        if (now >= r.deadline || left < 1) {
+            giveUp(r);
+        } else if (r.reader != null) {
+            sendToWriter(r);
+        } else {
+            sendToReader(r, left);
+        }
+    }
+
+    private void sendToReader(Request r, int left) {
+        List<Peer> readers = left < 2 ? List.of() : candidates(Role.READ, r);
+        List<Peer> writers = candidates(Role.WRITE, r);
+        List<Peer> mixed = candidates(Role.BOTH, r);
+        if (goesMixed(readers, writers, mixed)) {
+            send(r, lighterOfTwo(mixed), false);
+        } else if (!readers.isEmpty()) {
+            Peer trial = dueTrial(Role.READ, r);
+            send(r, trial != null ? trial : pickReader(r, readers), true);
+        } else if (settings.limits().writersRead() && !writers.isEmpty()) {
+            // No reader can be used: a writer that reads is slow and slows others, but answers.
+            send(r, lighterOfTwo(writers), false);
+        } else {
+            giveUp(r);
+        }
+    }
+
+    private void sendToWriter(Request r) {
+        List<Peer> writers = new ArrayList<>(candidates(Role.WRITE, r));
+        if (writers.isEmpty()) {
+            writers.addAll(candidates(Role.BOTH, r));
+        }
+        Peer trial = dueTrial(Role.WRITE, r);
+        Peer writer = trial != null ? trial : pickWriter(r.reader, writers);
+        if (writer != null) {
+            send(r, writer, false);
+        } else if (now + HOLD_STEP < r.idleSince + HOLD_SHARE * settings.rules().releaseMicros()) {
+            act(new Timer(HOLD_STEP, r.id));
+        } else {
+            giveUp(r);
+        }
+    }
+
+    private void send(Request r, Peer p, boolean read) {
+        long missed = missed(p, r);
+        Attempt a = new Attempt(r.sends++, p, read, missed);
+        r.attempt = a;
+        long expected = (long) (CUT_FACTOR * (read ? readTime(p, missed) : firstTokens.at(r.prompt())));
+        long cut = now + Math.min((long) (CUT_SHARE * (r.deadline - now)), Math.max(CUT_FLOOR, expected));
+        p.out++;
+        if (read) {
+            double cost = readTime(p, missed);
+            p.sends.add(new Sent(now, cost));
+            p.load += cost;
+            noteHolder(r, p, true);
+        } else {
+            p.sends.add(new Sent(now, 0));
+            p.tokens += a.tokens = r.prompt() + r.arrival.maxTokens();
+        }
+        act(new Send(r.id, p.id, cut));
+    }
+
+    private void streamStarted(StreamStarted e) {
+        Request r = requests.get(e.id());
+        if (r == null || r.attempt == null || r.attempt.number != e.attempt()) {
+            return;
+        }
+        r.streaming = true;
+        Attempt a = r.attempt;
+        firstTokens.learn(r.prompt(), e.tookMicros());
+        heard(a.peer, true, e.tookMicros() / firstTokens.at(r.prompt()));
+        feel((double) (now - r.arrivedAt) / r.aim);
+    }
+
+    private void attemptEnded(AttemptEnded e) {
+        Request r = requests.get(e.id());
+        if (r == null || r.attempt == null || r.attempt.number != e.attempt()) {
+            return;
+        }
+        Attempt a = r.attempt;
+        r.attempt = null;
+        r.idleSince = now;
+        a.peer.out--;
+        a.peer.tokens -= a.tokens;
+        a.peer.report(e.report());
+        r.answered |= e.ended() || r.streaming || e.outcome() == Outcome.DONE;
+        learn(r, a, e);
+        if (r.answered) {
+            finish(r);
+        } else if (e.outcome() == Outcome.READ) {
+            r.reader = a.peer;
+            step(r);
+        } else {
+            retry(r, a, e);
+        }
+    }
+
+    private void retry(Request r, Attempt a, AttemptEnded e) {
+        boolean neverRan = a.read || e.outcome() == Outcome.FULL || e.outcome() == Outcome.CONNECT_FAILED
+                || e.outcome() == Outcome.SKIPPED;
+        if (!neverRan && r.mayHaveRunAt == null) {
+            r.mayHaveRunAt = a.peer;
+            r.mayHaveRunFrom = a.sentAt;
+        }
+        r.failed.add(a.peer);
+        if (e.outcome() == Outcome.FULL && e.note() == 1) {
+            r.reader = null;
+            r.failed.remove(a.peer);
+        }
+        boolean free = e.outcome() == Outcome.FULL || e.outcome() == Outcome.CONNECT_FAILED;
+        if (!free && retries < 1) {
+            giveUp(r);
+            return;
+        }
+        retries -= free ? 0 : 1;
+        step(r);
+    }
+
+    private void clientGone(long id) {
+        Request r = requests.get(id);
+        if (r != null) {
+            r.answered = true;
+            if (r.attempt == null) {
+                finish(r);
+            } else if (settings.limits().cancel() && !r.streaming) {
+                act(new Cancel(id, r.attempt.number));
+            }
+        }
+    }
+
+    /** The final answer goes out at once, with a hint when to come back where clients hear one. */
+    private void giveUp(Request r) {
+        r.answered = true;
+        act(mayRefuse(r) ? new Refuse(r.id, backoff()) : new Fail(r.id));
+        if (r.attempt == null) {
+            finish(r);
+        } else if (settings.limits().cancel()) {
+            act(new Cancel(r.id, r.attempt.number));
+        }
+    }
+
+    /** Nothing stays pinned, however a request ended. */
+    private void finish(Request r) {
+        requests.remove(r.id);
+        if (r.sends > 0 && !r.streaming) {
+            act(new Release(r.id));
+        }
+    }
+
+    // ---- Health and time-outs -------------------------------------------------------------------------------
+
+    /** Servers of a role that may take this request now, the unhealthy only to keep the floor. */
+    private List<Peer> candidates(Role role, Request r) {
+        List<Peer> all = serving(role, p -> mayRepeatAt(r, p) && coldAllows(p));
+        List<Peer> fit = new ArrayList<>(all.stream().filter(p -> !p.aside).toList());
+        int floor = (int) Math.ceil(CANDIDATE_FLOOR * all.size());
+        if (fit.size() < floor) {
+            all.stream().filter(p -> p.aside).sorted(Comparator.comparingDouble(p -> p.bad))
+                    .limit(floor - fit.size()).forEach(fit::add);
+            fit.sort(Comparator.comparing(p -> p.id));
+        }
+        fit = preferring(fit, p -> !r.failed.contains(p));
+        return preferring(fit, p -> p.fullUntil <= now);
+    }
+
+    private static List<Peer> preferring(List<Peer> from, Predicate<Peer> which) {
+        List<Peer> some = from.stream().filter(which).toList();
+        return some.isEmpty() ? from : some;
+    }
+
+    private List<Peer> serving(Role role, Predicate<Peer> which) {
+        return peers.values().stream()
+                .filter(p -> p.serving() && settings.kinds().get(p.kind).role() == role && which.test(p)).toList();
+    }
+
+    /** A server set aside gets one request at a time after its wait, from a request that can afford a retry. */
+    private Peer dueTrial(Role role, Request r) {
+        if (!r.failed.isEmpty() || role == Role.WRITE && r.cls.repeat() != Repeat.SAFE) {
+            return null;
+        }
+        for (Peer p : serving(role, p -> p.aside && p.out == 0 && p.trialAt <= now)) {
+            if (mayRepeatAt(r, p) && coldAllows(p)) {
+                p.trialAt = now + p.trialWait;
+                return p;
+            }
+        }
+        return null;
+    }
+
+    private void learn(Request r, Attempt a, AttemptEnded e) {
+        switch (e.outcome()) {
+            case READ -> {
+                long missed = Math.max(0, r.prompt() - e.note());
+                Line line = readLines.get(a.peer.kind);
+                double ratio = e.tookMicros() / line.at(missed);
+                line.learn(missed, e.tookMicros());
+                heard(a.peer, true, ratio);
+                noteHolder(r, a.peer, true);
+            }
+            case DONE -> {
+                if (!r.streaming) {
+                    heard(a.peer, true, e.tookMicros() / firstTokens.at(r.prompt()));
+                }
+            }
+            case FULL -> {
+                if (e.note() != 1) {
+                    a.peer.fullUntil = now + FULL_PAUSE;
+                    feel(1);
+                }
+            }
+            case ERROR, TIMED_OUT, RESET, CONNECT_FAILED -> {
+                if (e.outcome() == Outcome.CONNECT_FAILED) {
+                    a.peer.bad = 1;
+                }
+                heard(a.peer, false, 1);
+                if (a.read) {
+                    noteHolder(r, a.peer, false);
+                }
+            }
+            default -> { }
+        }
+    }
+
+    /** One symptom scale for dead, failing, hanging and slow servers: share of failures, and time over expected. */
+    private void heard(Peer p, boolean good, double ratio) {
+        p.bad += OUTCOME_WEIGHT * ((good ? 0 : 1) - p.bad);
+        if (good) {
+            p.heard++;
+            p.slow += (p.aside ? 2 : 1) * TIME_WEIGHT * (ratio - p.slow);
+        }
+        boolean slow = p.heard >= SLOW_SAMPLES && p.slow > SLOW * medianSlowness(p);
+        if (!p.aside && (p.bad > FAILING || slow)) {
+            p.aside = true;
+            p.good = 0;
+            p.trialWait = TRIAL_WAIT;
+            p.trialAt = now + p.trialWait;
+        } else if (p.aside) {
+            p.good = good && !slow ? p.good + 1 : 0;
+            p.trialWait = p.good > 0 ? TRIAL_WAIT : Math.min(TRIAL_WAIT_MAX, 2 * p.trialWait);
+            p.trialAt = p.good > 0 ? now : now + p.trialWait;
+            if (p.good >= TRIALS) {
+                p.aside = false;
+                p.bad = 0;
+            }
+        }
+    }
+
+    private double medianSlowness(Peer of) {
+        double[] all = serving(settings.kinds().get(of.kind).role(), p -> true).stream()
+                .mapToDouble(p -> p.slow).sorted().toArray();
+        return all.length == 0 ? 1 : Math.max(0.5, all[(all.length - 1) / 2]);
+    }
+
+    private void probeAnswered(ProbeAnswered e) {
+        Peer p = peers.get(e.server());
+        if (p != null) {
+            p.report(e.report());
+        }
+    }
+
+    // ---- The list of servers --------------------------------------------------------------------------------
+
+    private void members(Members e) {
+        if (e.form() == ListForm.UNAVAILABLE) {
+            if (settings.asksDiscovery()) {
+                act(new Timer(ASK_AGAIN + random.nextLong(ASK_AGAIN), ASK_TOKEN));
+            }
+            return;
+        }
+        Set<String> named = new HashSet<>();
+        for (Server s : e.servers()) {
+            named.add(s.id());
+            Peer p = peers.computeIfAbsent(s.id(), Peer::new);
+            if (s.since() > p.since) {
+                forget(p);
+            }
+            p.take(s);
+        }
+        if (e.form() != ListForm.UPDATE) {
+            peers.values().stream().filter(p -> !named.contains(p.id)).forEach(p -> p.state = ServerState.GONE);
+        }
+    }
+
+    /** A restart cleared what the server kept, and whatever ailed it. */
+    private void forget(Peer p) {
+        keys.values().forEach(k -> k.holders.remove(p.id));
+        p.aside = false;
+        p.bad = 0;
+        p.slow = 1;
+        p.heard = 0;
+        p.memory = 0;
+        p.sends.clear();
+        p.load = 0;
+    }
+
+    // ---- Admission and fairness -----------------------------------------------------------------------------
+
+    /** First-token times over their aims, and refusals by servers, felt as one figure. */
+    private void feel(double timeOverAim) {
+        pressure += PRESSURE_WEIGHT * (Math.min(2, timeOverAim) - pressure);
+    }
+
+    private boolean refusedAtDoor(Request r) {
+        boolean over = overShare(r.arrival.tenant());
+        if (over && pressure > OVER_SHARE_PRESSURE) {
+            return true;
+        }
+        double best = settings.classes().stream().mapToDouble(RequestClass::worth).max().orElse(1);
+        double refuse = Math.min(REFUSE_MOST, (pressure - REFUSE_PRESSURE) / REFUSE_SLOPE);
+        return random.nextDouble() < refuse * (r.cls.worth() < best ? 1 : 0.5);
+    }
+
+    /** Each router sees its part of a tenant's requests and grants that part of the share. */
+    private boolean overShare(int tenant) {
+        if (tenant < 0 || tenant >= tenantSaved.length) {
+            return false;
+        }
+        double rate = settings.tenants().get(tenant).allowancePerSecond() / settings.routers();
+        double gained = tenantAt[tenant] == 0 ? SHARE_SAVED * rate : rate * (now - tenantAt[tenant]) / 1e6;
+        tenantAt[tenant] = now;
+        tenantSaved[tenant] = Math.min(Math.max(1, SHARE_SAVED * rate), tenantSaved[tenant] + gained);
+        if (tenantSaved[tenant] < 1) {
+            return true;
+        }
+        tenantSaved[tenant]--;
+        return false;
+    }
+
+    private long backoff() {
+        long hint = Math.min(settings.limits().maxBackoffMicros(), BACKOFF + random.nextLong(BACKOFF));
+        return settings.limits().backoffHints() ? hint : 0;
+    }
+
+    // ---- Rule guards ----------------------------------------------------------------------------------------
+
+    /** A repeat must be harmless: any server for safe classes, the group within its window for keyed ones. */
+    private boolean mayRepeatAt(Request r, Peer p) {
+        if (r.mayHaveRunAt == null || r.cls.repeat() == Repeat.SAFE) {
+            return true;
+        }
+        if (r.cls.repeat() == Repeat.UNSAFE || now >= r.mayHaveRunFrom + r.cls.repeatWindowMicros()) {
+            return false;
+        }
+        return switch (r.cls.scope()) {
+            case ALL -> true;
+            case ZONE -> p.zone == r.mayHaveRunAt.zone;
+            case CELL -> p.cell == r.mayHaveRunAt.cell;
+        };
+    }
+
+    /** A refusal says that a repeat is harmless; where that is not known, only a failure is true. */
+    private static boolean mayRefuse(Request r) {
+        boolean never = r.mayHaveRunAt == null && (r.attempt == null || r.attempt.read);
+        return r.cls.repeat() == Repeat.SAFE || never
+                || r.cls.repeat() == Repeat.KEYED && r.cls.scope() == Scope.ALL;
+    }
+
+    /**
+     * A cold server's capacity is not told: this router sends it a part of its mean sends to a server of that role,
+     * as if all routers did the same. Too careful when few warm servers are left; that is the safe side.
+     */
+    private boolean coldAllows(Peer p) {
+        long age = now - p.since;
+        if (p.since <= 0 || age >= settings.rules().coldMicros()) {
+            return true;
+        }
+        Rules rules = settings.rules();
+        List<Peer> role = serving(settings.kinds().get(p.kind).role(), q -> true);
+        long recent = role.stream().mapToLong(q -> q.sentSince(now - LOAD_WINDOW)).sum();
+        double mean = (double) recent / role.size() * rules.fallMicros() / LOAD_WINDOW;
+        double bearable = COLD_SAFETY * rules.fallMultiple() * rules.coldFrom() * mean;
+        return p.sentSince(now - rules.fallMicros()) + 1 <= Math.max(1, bearable);
+    }
+
+    // ---- What is remembered ---------------------------------------------------------------------------------
+
+    private record Sent(long at, double cost) {
+    }
+
+    /** A server as this router knows it. */
+    private static final class Peer {
+        final String id;
+        int zone;
+        int kind;
+        int cell;
+        ServerState state = ServerState.GONE;
+        double size;
+        long since;
+        final ArrayDeque<Sent> sends = new ArrayDeque<>();
+        double load;
+        double memory;
+        long tokens;
+        int out;
+        double bad;
+        double slow = 1;
+        int heard;
+        boolean aside;
+        int good;
+        long trialAt;
+        long trialWait;
+        long fullUntil;
+        long probedAt;
+
+        Peer(String id) {
+            this.id = id;
+        }
+
+        void take(Server s) {
+            zone = s.zone();
+            kind = s.kind();
+            cell = s.cell();
+            state = s.state();
+            size = s.size();
+            since = s.since();
+        }
+
+        boolean serving() {
+            return state == ServerState.SERVING;
+        }
+
+        void report(Map<String, Double> values) {
+            memory = values.getOrDefault("x0", memory);
+        }
+
+        long sentSince(long from) {
+            return sends.stream().filter(s -> s.at > from).count();
+        }
+    }
+
+    private static final class Key {
+        final String name;
+        final TreeMap<String, Holder> holders = new TreeMap<>();
+        long used;
+
+        Key(String name) {
+            this.name = name;
+        }
+    }
+
+    private static final class Holder {
+        final ArrayDeque<Long> seen = new ArrayDeque<>();
+        long tokens;
+
+        int sharers(long from) {
+            while (!seen.isEmpty() && seen.peek() < from) {
+                seen.poll();
+            }
+            return seen.size();
+        }
+    }
+
+    private final class Attempt {
+        final int number;
+        final Peer peer;
+        final boolean read;
+        final long missed;
+        final long sentAt = now;
+        long tokens;
+
+        Attempt(int number, Peer peer, boolean read, long missed) {
+            this.number = number;
+            this.peer = peer;
+            this.read = read;
+            this.missed = missed;
+        }
+    }
+
+    private static final class Request {
+        final long id;
+        final Arrived arrival;
+        final RequestClass cls;
+        final long arrivedAt;
+        final long deadline;
+        final double aim;
+        final Set<Peer> failed = new HashSet<>();
+        int sends;
+        Attempt attempt;
+        Peer reader;
+        long idleSince;
+        boolean answered;
+        boolean streaming;
+        Peer mayHaveRunAt;
+        long mayHaveRunFrom;
+
+        Request(Arrived a, RequestClass cls, long now) {
+            this.id = a.id();
+            this.arrival = a;
+            this.cls = cls;
+            this.arrivedAt = now;
+            this.idleSince = now;
+            this.deadline = now + a.budgetMicros();
+            this.aim = cls.aimMicros() + cls.aimPer1000Micros() * a.promptTokens() / 1000.0;
+        }
+
+        String session() {
+            return arrival.session();
+        }
+
+        String prefix() {
+            return arrival.prefix();
+        }
+
+        long prompt() {
+            return arrival.promptTokens();
+        }
+
+        boolean waits() {
+            return attempt == null && !answered;
+        }
+    }
+
+    /** A line through recent (tokens, time) pairs, the old ones fading. */
+    private static final class Line {
+        private double n = 1;
+        private double x = 1000;
+        private double y = FIRST_READ_TIME + 1000 * FIRST_TOKEN_TIME;
+        private double xx = 2e6;
+        private double xy = 1000 * FIRST_READ_TIME + 2e6 * FIRST_TOKEN_TIME;
+
+        void learn(double tokens, double time) {
+            n = n * FIT_DECAY + 1;
+            x = x * FIT_DECAY + tokens;
+            y = y * FIT_DECAY + time;
+            xx = xx * FIT_DECAY + tokens * tokens;
+            xy = xy * FIT_DECAY + tokens * time;
+        }
+
+        double mean() {
+            return y / n;
+        }
+
+        double at(double tokens) {
+            double spread = n * xx - x * x;
+            double slope = spread > n * n ? Math.max(0, (n * xy - x * y) / spread) : 0;
+            return Math.max(1000, (y - slope * x) / n + slope * tokens);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sorrelhoist/Routing.java
@@ -0,0 +1,351 @@
+package sorrelhoist;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The vocabulary between a router and {@link Decide}: settings at start, events in, actions out.
+ *
+ * <p>All times are microseconds on the router's own clock, which only advances. Server ids are opaque.
+ * Everything here is plain data; nothing in this file decides anything.
+ */
+public final class Routing {
+    private Routing() {
+    }
+
+    /** What a server kind does: reads prompts, writes answers, or both. */
+    public enum Role { READ, WRITE, BOTH }
+
+    /** How safely a request class may be repeated. */
+    public enum Repeat { SAFE, KEYED, UNSAFE }
+
+    /** Which servers drop the repeats of a keyed request. */
+    public enum Scope { ALL, ZONE, CELL }
+
+    /** How load reports come: never, within outcomes, or only within probe results. */
+    public enum Reports { NONE, IN_OUTCOMES, IN_PROBES }
+
+    /** A server's state as discovery lists it. */
+    public enum ServerState { SERVING, DRAINING, GONE }
+
+    /** How a membership event relates to the list that is held. */
+    public enum ListForm { UPDATE, COMPLETE, RESTORED, UNAVAILABLE }
+
+    /** How an attempt or a probe ended; {@code READ} is a prompt read whose state waits at the reader. */
+    public enum Outcome { DONE, READ, ERROR, FULL, TIMED_OUT, CONNECT_FAILED, RESET, CANCELLED, SKIPPED }
+
+    /**
+     * One request class.
+     *
+     * @param aimMicros a first token within this time earns full worth
+     * @param aimPer1000Micros added to the aim for each 1,000 prompt tokens
+     * @param worth worth of one request, compared between classes
+     * @param repeat how safely the class may be repeated
+     * @param scope for keyed classes: the servers that drop repeats
+     * @param repeatWindowMicros for keyed classes: how long repeats are dropped, from the first send
+     */
+    public record RequestClass(long aimMicros, long aimPer1000Micros, double worth, Repeat repeat, Scope scope,
+            long repeatWindowMicros) {
+    }
+
+    /**
+     * One tenant.
+     *
+     * @param allowancePerSecond requests a second within its share, over all routers
+     */
+    public record Tenant(double allowancePerSecond) {
+    }
+
+    /**
+     * One kind of server.
+     *
+     * @param role what such servers do
+     * @param memoryTokens memory, in tokens
+     */
+    public record Kind(Role role, long memoryTokens) {
+    }
+
+    /**
+     * What the router may do.
+     *
+     * @param maxAttempts sends a request may have
+     * @param cancel whether {@link Cancel} is permitted
+     * @param probes whether {@link Probe} is permitted
+     * @param backoffHints whether clients are told when to come back
+     * @param maxBackoffMicros the longest hint that a client heeds
+     * @param writersRead whether a writer reads the prompt itself when it finds no state
+     */
+    public record Limits(int maxAttempts, boolean cancel, boolean probes, boolean backoffHints,
+            long maxBackoffMicros, boolean writersRead) {
+    }
+
+    /**
+     * Figures of the rules.
+     *
+     * @param coldFrom a started server can do this share of its work or more
+     * @param coldMicros and is warm after this time
+     * @param fallMultiple sent more than this multiple of what it can do
+     * @param fallMicros for this long, it falls over
+     * @param releaseMicros a held state is taken or let go within this time
+     */
+    public record Rules(double coldFrom, long coldMicros, double fallMultiple, long fallMicros,
+            long releaseMicros) {
+    }
+
+    /**
+     * All that a router is told at start.
+     *
+     * @param routers routers that share the servers, this one included
+     * @param self this router's number, from 0
+     * @param zone the zone in which this router stands
+     * @param asksDiscovery true where list changes come only to those that follow
+     * @param overShareWorth worth of a tenant's requests beyond its share, as a share of the class's
+     * @param reports how load reports come
+     * @param classes request classes, by index
+     * @param tenants tenants, by index; may be empty
+     * @param kinds server kinds, by index
+     * @param limits what is permitted
+     * @param rules the rules' figures
+     */
+    public record Settings(int routers, int self, int zone, boolean asksDiscovery, double overShareWorth,
+            Reports reports, List<RequestClass> classes, List<Tenant> tenants, List<Kind> kinds, Limits limits,
+            Rules rules) {
+    }
+
+    /**
+     * One line of the list of servers.
+     *
+     * @param id opaque, the same at every router
+     * @param zone the zone in which it stands
+     * @param kind index into {@link Settings#kinds}
+     * @param cell the small group of servers with a fast link among them
+     * @param state as listed
+     * @param size for comparison with servers of the same role
+     * @param since time of its last start; 0 for long ago
+     */
+    public record Server(String id, int zone, int kind, int cell, ServerState state, double size, long since) {
+    }
+
+    /** What a router tells the module. */
+    public sealed interface Event {
+    }
+
+    /**
+     * Discovery spoke. The first event of an instance should be one of these.
+     *
+     * @param form how the lines relate to the list held
+     * @param servers the lines; empty where unavailable
+     */
+    public record Members(ListForm form, List<Server> servers) implements Event {
+    }
+
+    /**
+     * A request came and is owed one final answer.
+     *
+     * @param id never repeated
+     * @param cls index into {@link Settings#classes}
+     * @param tenant index into {@link Settings#tenants}; 0 where there are none
+     * @param session the conversation, or null
+     * @param prefix the beginning shared with other sessions, or null
+     * @param promptTokens tokens in the prompt
+     * @param prefixTokens those among them that belong to the shared beginning
+     * @param maxTokens the most that may be answered
+     * @param budgetMicros time until the client gives up
+     */
+    public record Arrived(long id, int cls, int tenant, String session, String prefix, long promptTokens,
+            long prefixTokens, long maxTokens, long budgetMicros) implements Event {
+    }
+
+    /**
+     * An attempt ended; each send gets exactly one of these.
+     *
+     * @param id the request
+     * @param attempt number of the send, from 0
+     * @param server where it was sent
+     * @param outcome how it ended
+     * @param tookMicros time since the send
+     * @param ended true once the request is concluded
+     * @param note kept tokens after READ and DONE; 1 after FULL where no state was there to fetch
+     * @param report load report by field name; may be empty
+     */
+    public record AttemptEnded(long id, int attempt, String server, Outcome outcome, long tookMicros,
+            boolean ended, long note, Map<String, Double> report) implements Event {
+    }
+
+    /**
+     * The answer has begun; deadline and time-out no longer run.
+     *
+     * @param id the request
+     * @param attempt number of the send
+     * @param server the writer
+     * @param tookMicros time since the send
+     */
+    public record StreamStarted(long id, int attempt, String server, long tookMicros) implements Event {
+    }
+
+    /**
+     * The answer to a {@link Reserve}.
+     *
+     * @param id the request
+     * @param server where a place was asked for
+     * @param held whether one is held
+     */
+    public record PlaceAnswered(long id, String server, boolean held) implements Event {
+    }
+
+    /**
+     * A probe's result.
+     *
+     * @param server the server probed
+     * @param outcome DONE, or the reason otherwise
+     * @param tookMicros time since it was sent
+     * @param report load report by field name; may be empty
+     */
+    public record ProbeAnswered(String server, Outcome outcome, long tookMicros, Map<String, Double> report)
+            implements Event {
+    }
+
+    /**
+     * A timer fell due.
+     *
+     * @param token as given with {@link Timer}
+     */
+    public record TimerFired(long token) implements Event {
+    }
+
+    /**
+     * Another router's message.
+     *
+     * @param from number of the sender
+     * @param body as sent
+     */
+    public record PeerMessage(int from, String body) implements Event {
+    }
+
+    /**
+     * The client left; nothing is owed any more.
+     *
+     * @param id the request
+     */
+    public record ClientGone(long id) implements Event {
+    }
+
+    /** What the module tells the router to do, in order. */
+    public sealed interface Action {
+    }
+
+    /**
+     * Send the request to a server.
+     *
+     * @param id the request
+     * @param server where to
+     * @param cutAt clock time at which the attempt is given up; 0 for the client's deadline
+     */
+    public record Send(long id, String server, long cutAt) implements Action {
+    }
+
+    /**
+     * Hold a place ahead at a writer.
+     *
+     * @param id the request
+     * @param server the writer
+     */
+    public record Reserve(long id, String server) implements Action {
+    }
+
+    /**
+     * Let go of all that is held for the request and that no attempt waits for.
+     *
+     * @param id the request
+     */
+    public record Release(long id) implements Action {
+    }
+
+    /**
+     * Final answer: trying again is harmless.
+     *
+     * @param id the request
+     * @param backoffMicros when to come back; 0 for no advice
+     */
+    public record Refuse(long id, long backoffMicros) implements Action {
+    }
+
+    /**
+     * Final answer: failed, nothing promised.
+     *
+     * @param id the request
+     */
+    public record Fail(long id) implements Action {
+    }
+
+    /**
+     * Stop waiting for an attempt.
+     *
+     * @param id the request
+     * @param attempt number of the send
+     */
+    public record Cancel(long id, int attempt) implements Action {
+    }
+
+    /**
+     * End a running stream in good order; the client comes back and goes on elsewhere.
+     *
+     * @param id the request
+     */
+    public record Move(long id) implements Action {
+    }
+
+    /**
+     * Probe a server.
+     *
+     * @param server which
+     */
+    public record Probe(String server) implements Action {
+    }
+
+    /**
+     * Ask for a {@link TimerFired}.
+     *
+     * @param delayMicros from now
+     * @param token handed back
+     */
+    public record Timer(long delayMicros, long token) implements Action {
+    }
+
+    /**
+     * Send a message to another router.
+     *
+     * @param to its number; -1 for all
+     * @param body at most 256 bytes
+     */
+    public record Tell(int to, String body) implements Action {
+    }
+
+    /**
+     * Ask discovery to push changes, or to stop.
+     *
+     * @param on which
+     */
+    public record Follow(boolean on) implements Action {
+    }
+
+    /** Ask discovery for the complete list once. */
+    public record FetchList() implements Action {
+    }
+
+    /**
+     * Close idle connections to a server.
+     *
+     * @param server which
+     */
+    public record CloseIdle(String server) implements Action {
+    }
+
+    /**
+     * A line for the log.
+     *
+     * @param text the line
+     */
+    public record Log(String text) implements Action {
+    }
+}
