--- a/src/main/java/sorrelhoist/Decide.java
+++ b/src/main/java/sorrelhoist/Decide.java
@@ -65,13 +65,13 @@
     private static final long FULL_PAUSE = 200_000;
     /** An attempt is cut at this multiple of the time expected for it ... */
     private static final double CUT_FACTOR = 4;
-    /** ... but not before this many microseconds, so that queueing and jitter are not taken for death ... */
-    private static final long CUT_FLOOR = 400_000;
+    /** ... but not before this many microseconds: where work goes on after a cut, an early one doubles it ... */
+    private static final long CUT_FLOOR = 800_000;
     /** ... and within this share of the remaining time, so that another attempt fits. */
     private static final double CUT_SHARE = 0.45;
-    /** Work-costing retries allowed for each arrival, and at most saved up: bounds a retry storm. */
-    private static final double RETRIES_PER_ARRIVAL = 0.3;
-    private static final double RETRIES_SAVED = 15;
+    /** Retries allowed for each arrival, and at most saved up: bounds a retry storm. */
+    private static final double RETRIES_PER_ARRIVAL = 0.2;
+    private static final double RETRIES_SAVED = 10;
 
     // ---- Constants: holding, admission, guards --------------------------------------------------------------
     /** Microseconds between looks for a writer while a state waits. */
@@ -80,14 +80,14 @@
     private static final double HOLD_SHARE = 0.5;
     /** Share of the warm mean that a cold server may get, of what the rule would bear: others' sends are unseen. */
     private static final double COLD_SAFETY = 0.5;
-    /** Weight of the newest first-token time over its aim in the pressure. */
-    private static final double PRESSURE_WEIGHT = 0.05;
-    /** Pressure from which requests beyond their tenant's share are refused. */
-    private static final double OVER_SHARE_PRESSURE = 0.5;
-    /** Pressure from which any request may be refused, and the further rise at which nearly all would be. */
-    private static final double REFUSE_PRESSURE = 0.8;
-    private static final double REFUSE_SLOPE = 0.8;
-    private static final double REFUSE_MOST = 0.9;
+    /** Microseconds over which first tokens are counted: long enough for some, short enough to follow a fall. */
+    private static final long PACE_WINDOW = 3_000_000;
+    /** Share of the aim that the requests ahead may take before a new one is refused: the rest is its own time. */
+    private static final double DOOR = 0.7;
+    /** The same for requests beyond their tenant's share. */
+    private static final double OVER_SHARE_DOOR = 0.35;
+    /** Waiting requests that are always let in, so that a router that has heard nothing starts at all. */
+    private static final int ALWAYS_IN = 4;
     /** Seconds of a tenant's share that it may save up, so that a short burst within its share passes. */
     private static final double SHARE_SAVED = 2;
     /** Microseconds between housekeeping looks. */
@@ -113,7 +113,8 @@
     private long now = Long.MIN_VALUE;
     private boolean started;
     private double retries = RETRIES_SAVED;
-    private double pressure;
+    private final ArrayDeque<Long> starts = new ArrayDeque<>();
+    private int waiting;
     private List<Action> out = new ArrayList<>();
 
     /**
@@ -409,6 +410,7 @@
         }
         Request r = new Request(a, settings.classes().get(a.cls()), now);
         requests.put(a.id(), r);
+        waiting++;
         retries = Math.min(RETRIES_SAVED, retries + RETRIES_PER_ARRIVAL);
         act(new Timer(Math.max(0, a.budgetMicros()), a.id()));
         if (refusedAtDoor(r)) {
@@ -491,7 +493,9 @@
         Attempt a = r.attempt;
         firstTokens.learn(r.prompt(), e.tookMicros());
         heard(a.peer, true, e.tookMicros() / firstTokens.at(r.prompt()));
-        feel((double) (now - r.arrivedAt) / r.aim);
+        settle(r);
+        starts.add(now);
+        a.peer.served.add(now);
     }
 
     private void attemptEnded(AttemptEnded e) {
@@ -506,6 +510,9 @@
         a.peer.tokens -= a.tokens;
         a.peer.report(e.report());
         r.answered |= e.ended() || r.streaming || e.outcome() == Outcome.DONE;
+        if (r.answered) {
+            settle(r);
+        }
         learn(r, a, e);
         if (r.answered) {
             finish(r);
@@ -529,7 +536,7 @@
             r.reader = null;
             r.failed.remove(a.peer);
         }
-        boolean free = e.outcome() == Outcome.FULL || e.outcome() == Outcome.CONNECT_FAILED;
+        boolean free = e.outcome() == Outcome.CONNECT_FAILED;
         if (!free && retries < 1) {
             giveUp(r);
             return;
@@ -542,6 +549,7 @@
         Request r = requests.get(id);
         if (r != null) {
             r.answered = true;
+            settle(r);
             if (r.attempt == null) {
                 finish(r);
             } else if (settings.limits().cancel() && !r.streaming) {
@@ -553,6 +561,7 @@
     /** The final answer goes out at once, with a hint when to come back where clients hear one. */
     private void giveUp(Request r) {
         r.answered = true;
+        settle(r);
         act(mayRefuse(r) ? new Refuse(r.id, backoff()) : new Fail(r.id));
         if (r.attempt == null) {
             finish(r);
@@ -561,6 +570,12 @@
         }
     }
 
+    /** The request no longer waits for a first token. */
+    private void settle(Request r) {
+        waiting -= r.settled ? 0 : 1;
+        r.settled = true;
+    }
+
     /** Nothing stays pinned, however a request ended. */
     private void finish(Request r) {
         requests.remove(r.id);
@@ -617,6 +632,7 @@
                 double ratio = e.tookMicros() / line.at(missed);
                 line.learn(missed, e.tookMicros());
                 heard(a.peer, true, ratio);
+                a.peer.served.add(now);
                 noteHolder(r, a.peer, true);
             }
             case DONE -> {
@@ -627,7 +643,6 @@
             case FULL -> {
                 if (e.note() != 1) {
                     a.peer.fullUntil = now + FULL_PAUSE;
-                    feel(1);
                 }
             }
             case ERROR, TIMED_OUT, RESET, CONNECT_FAILED -> {
@@ -635,6 +650,10 @@
                     a.peer.bad = 1;
                 }
                 heard(a.peer, false, 1);
+                if (e.outcome() == Outcome.TIMED_OUT) {
+                    (a.read ? readLines.get(a.peer.kind) : firstTokens).learn(a.read ? a.missed : r.prompt(),
+                            e.tookMicros());
+                }
                 if (a.read) {
                     noteHolder(r, a.peer, false);
                 }
@@ -717,19 +736,21 @@
 
     // ---- Admission and fairness -----------------------------------------------------------------------------
 
-    /** First-token times over their aims, and refusals by servers, felt as one figure. */
-    private void feel(double timeOverAim) {
-        pressure += PRESSURE_WEIGHT * (Math.min(2, timeOverAim) - pressure);
-    }
-
+    /**
+     * Little's law on what this router sees: those that wait for a first token, over first tokens a second. A request
+     * that would come late is refused at once; the classes worth less make room at the tightest aim of all.
+     */
     private boolean refusedAtDoor(Request r) {
-        boolean over = overShare(r.arrival.tenant());
-        if (over && pressure > OVER_SHARE_PRESSURE) {
-            return true;
+        while (!starts.isEmpty() && starts.peek() < now - PACE_WINDOW) {
+            starts.poll();
+        }
+        double door = overShare(r.arrival.tenant()) ? OVER_SHARE_DOOR : DOOR;
+        double aim = r.aim;
+        for (RequestClass c : settings.classes()) {
+            aim = c.worth() > r.cls.worth() ? Math.min(aim, c.aimMicros()) : aim;
         }
-        double best = settings.classes().stream().mapToDouble(RequestClass::worth).max().orElse(1);
-        double refuse = Math.min(REFUSE_MOST, (pressure - REFUSE_PRESSURE) / REFUSE_SLOPE);
-        return random.nextDouble() < refuse * (r.cls.worth() < best ? 1 : 0.5);
+        double ahead = (double) waiting * PACE_WINDOW / Math.max(1, starts.size());
+        return waiting > ALWAYS_IN && ahead > door * aim;
     }
 
     /** Each router sees its part of a tenant's requests and grants that part of the share. */
@@ -778,8 +799,8 @@
     }
 
     /**
-     * A cold server's capacity is not told: this router sends it a part of its mean sends to a server of that role,
-     * as if all routers did the same. Too careful when few warm servers are left; that is the safe side.
+     * A cold server's capacity is not told: this router sends it a part of what it has had served by a server of that
+     * role in the mean (sends would count a storm's retries as capacity), as if all routers did the same. Too careful when few warm servers are left; that is the safe side.
      */
     private boolean coldAllows(Peer p) {
         long age = now - p.since;
@@ -788,7 +809,7 @@
         }
         Rules rules = settings.rules();
         List<Peer> role = serving(settings.kinds().get(p.kind).role(), q -> true);
-        long recent = role.stream().mapToLong(q -> q.sentSince(now - LOAD_WINDOW)).sum();
+        long recent = role.stream().mapToLong(q -> q.servedSince(now - LOAD_WINDOW)).sum();
         double mean = (double) recent / role.size() * rules.fallMicros() / LOAD_WINDOW;
         double bearable = COLD_SAFETY * rules.fallMultiple() * rules.coldFrom() * mean;
         return p.sentSince(now - rules.fallMicros()) + 1 <= Math.max(1, bearable);
@@ -809,6 +830,7 @@
         double size;
         long since;
         final ArrayDeque<Sent> sends = new ArrayDeque<>();
+        final ArrayDeque<Long> served = new ArrayDeque<>();
         double load;
         double memory;
         long tokens;
@@ -844,6 +866,13 @@
             memory = values.getOrDefault("x0", memory);
         }
 
+        long servedSince(long from) {
+            while (!served.isEmpty() && served.peek() < from) {
+                served.poll();
+            }
+            return served.size();
+        }
+
         long sentSince(long from) {
             return sends.stream().filter(s -> s.at > from).count();
         }
@@ -901,6 +930,7 @@
         long idleSince;
         boolean answered;
         boolean streaming;
+        boolean settled;
         Peer mayHaveRunAt;
         long mayHaveRunFrom;
 
