--- a/src/main/java/sorrelhoist/Decide.java
+++ b/src/main/java/sorrelhoist/Decide.java
@@ -63,12 +63,10 @@
     private static final double CANDIDATE_FLOOR = 0.34;
     /** Microseconds for which a server that answered full is passed over where another is there. */
     private static final long FULL_PAUSE = 200_000;
-    /** An attempt is cut at this multiple of the time expected for it ... */
+    /** An attempt may take this share of the remaining time, so that another fits if it hangs ... */
+    private static final double CUT_SHARE = 0.6;
+    /** ... or this multiple of its expected time if more: where work goes on after a cut, an early one doubles it. */
     private static final double CUT_FACTOR = 4;
-    /** ... but not before this many microseconds: where work goes on after a cut, an early one doubles it ... */
-    private static final long CUT_FLOOR = 800_000;
-    /** ... and within this share of the remaining time, so that another attempt fits. */
-    private static final double CUT_SHARE = 0.45;
     /** Retries allowed for each arrival, and at most saved up: bounds a retry storm. */
     private static final double RETRIES_PER_ARRIVAL = 0.2;
     private static final double RETRIES_SAVED = 10;
@@ -82,6 +80,8 @@
     private static final double COLD_SAFETY = 0.5;
     /** Microseconds over which first tokens are counted: long enough for some, short enough to follow a fall. */
     private static final long PACE_WINDOW = 3_000_000;
+    /** Seconds in which a remembered pace halves: first tokens tell capacity only while requests wait for them. */
+    private static final double PACE_HALVES = 10;
     /** Share of the aim that the requests ahead may take before a new one is refused: the rest is its own time. */
     private static final double DOOR = 0.7;
     /** The same for requests beyond their tenant's share. */
@@ -115,6 +115,7 @@
     private double retries = RETRIES_SAVED;
     private final ArrayDeque<Long> starts = new ArrayDeque<>();
     private int waiting;
+    private double pace;
     private List<Action> out = new ArrayList<>();
 
     /**
@@ -221,6 +222,10 @@
 
     private void tick() {
         act(new Timer(TICK, TICK_TOKEN));
+        while (!starts.isEmpty() && starts.peek() < now - PACE_WINDOW) {
+            starts.poll();
+        }
+        pace = Math.max(starts.size(), pace * Math.pow(0.5, TICK / 1e6 / PACE_HALVES));
         var eldest = keys.entrySet().iterator();
         while (eldest.hasNext()) {
             Key k = eldest.next().getValue();
@@ -469,8 +474,8 @@
         long missed = missed(p, r);
         Attempt a = new Attempt(r.sends++, p, read, missed);
         r.attempt = a;
-        long expected = (long) (CUT_FACTOR * (read ? readTime(p, missed) : firstTokens.at(r.prompt())));
-        long cut = now + Math.min((long) (CUT_SHARE * (r.deadline - now)), Math.max(CUT_FLOOR, expected));
+        double patience = CUT_FACTOR * (read ? readTime(p, missed) : firstTokens.at(r.prompt()));
+        long cut = Math.min(r.deadline, now + (long) Math.max(CUT_SHARE * (r.deadline - now), patience));
         p.out++;
         if (read) {
             double cost = readTime(p, missed);
@@ -741,15 +746,12 @@
      * that would come late is refused at once; the classes worth less make room at the tightest aim of all.
      */
     private boolean refusedAtDoor(Request r) {
-        while (!starts.isEmpty() && starts.peek() < now - PACE_WINDOW) {
-            starts.poll();
-        }
         double door = overShare(r.arrival.tenant()) ? OVER_SHARE_DOOR : DOOR;
         double aim = r.aim;
         for (RequestClass c : settings.classes()) {
             aim = c.worth() > r.cls.worth() ? Math.min(aim, c.aimMicros()) : aim;
         }
-        double ahead = (double) waiting * PACE_WINDOW / Math.max(1, starts.size());
+        double ahead = waiting * PACE_WINDOW / Math.max(1, pace);
         return waiting > ALWAYS_IN && ahead > door * aim;
     }
 
