--- a/src/main/java/sorrelhoist/Decide.java
+++ b/src/main/java/sorrelhoist/Decide.java
@@ -78,13 +78,10 @@
     private static final double HOLD_SHARE = 0.5;
     /** Share of the warm mean that a cold server may get, of what the rule would bear: others' sends are unseen. */
     private static final double COLD_SAFETY = 0.5;
-    /** Microseconds over which first tokens are counted: long enough for some, short enough to follow a fall. */
-    private static final long PACE_WINDOW = 3_000_000;
-    /** Seconds in which a remembered pace halves: first tokens tell capacity only while requests wait for them. */
-    private static final double PACE_HALVES = 10;
-    /** Share of the aim that the requests ahead may take before a new one is refused: the rest is its own time. */
-    private static final double DOOR = 0.7;
-    /** The same for requests beyond their tenant's share. */
+    /** Share of the aim that a request may be expected to need: beyond it, it is refused at once. */
+    private static final double DOOR = 1;
+    /** The same where a class of more worth, or a tenant within its share, needs the room. */
+    private static final double DOOR_FOR_LESS = 0.7;
     private static final double OVER_SHARE_DOOR = 0.35;
     /** Waiting requests that are always let in, so that a router that has heard nothing starts at all. */
     private static final int ALWAYS_IN = 4;
@@ -113,9 +110,7 @@
     private long now = Long.MIN_VALUE;
     private boolean started;
     private double retries = RETRIES_SAVED;
-    private final ArrayDeque<Long> starts = new ArrayDeque<>();
     private int waiting;
-    private double pace;
     private List<Action> out = new ArrayList<>();
 
     /**
@@ -222,10 +217,6 @@
 
     private void tick() {
         act(new Timer(TICK, TICK_TOKEN));
-        while (!starts.isEmpty() && starts.peek() < now - PACE_WINDOW) {
-            starts.poll();
-        }
-        pace = Math.max(starts.size(), pace * Math.pow(0.5, TICK / 1e6 / PACE_HALVES));
         var eldest = keys.entrySet().iterator();
         while (eldest.hasNext()) {
             Key k = eldest.next().getValue();
@@ -253,14 +244,14 @@
         for (Key key : new Key[] {session, prefix}) {
             List<Peer> holders = readers.stream().filter(p -> 2 * kept(key, p, r) > r.prompt()).toList();
             if (!holders.isEmpty()) {
-                return shifted(cheapest(holders, r, session, prefix), readers);
+                return unjammed(shifted(cheapest(holders, r, session, prefix), readers), r, readers);
             }
         }
         String unseen = r.prefix() != null ? r.prefix() : r.session();
         if (unseen != null && prefix == null && session == null) {
-            return byHash(unseen, readers);
+            return unjammed(byHash(unseen, readers), r, readers);
         }
-        return cheapest(readers, r, session, prefix);
+        return unjammed(cheapest(readers, r, session, prefix), r, readers);
     }
 
     private Key find(String name) {
@@ -332,6 +323,28 @@
         return chosen == heaviest && load(chosen) > bound ? lightest : chosen;
     }
 
+    /**
+     * Exception to the ordinary choice. Acts when the chosen reader's reads now out would take this one to more than
+     * twice the soonest reader's end and one mean read. Guards against a jam that ten seconds of sends do not show:
+     * a hot beginning, a slow or hanging reader, other routers' traffic. Harm: a text is read and kept twice.
+     */
+    private Peer unjammed(Peer chosen, Request r, List<Peer> readers) {
+        Peer soonest = chosen;
+        for (Peer p : readers) {
+            soonest = completion(p, r) < completion(soonest, r) ? p : soonest;
+        }
+        double bound = SHIFT_THRESHOLD * completion(soonest, r) + readLines.get(chosen.kind).mean();
+        return completion(chosen, r) > bound ? soonest : chosen;
+    }
+
+    /** Reads out there, the time by which the oldest is overdue (others' reads are ahead of it), and this one. */
+    private double completion(Peer p, Request r) {
+        double queue = p.reads.values().stream().mapToDouble(a -> a.cost).sum();
+        Attempt oldest = p.reads.isEmpty() ? null : p.reads.values().iterator().next();
+        double overdue = oldest == null ? 0 : Math.max(0, now - oldest.sentAt - oldest.cost);
+        return queue + overdue + readTime(p, missed(p, r));
+    }
+
     /** Highest hash of key and id wins: all routers agree, and a change of the list moves only its own keys. */
     private static Peer byHash(String key, List<Peer> sorted) {
         Peer best = null;
@@ -478,9 +491,10 @@
         long cut = Math.min(r.deadline, now + (long) Math.max(CUT_SHARE * (r.deadline - now), patience));
         p.out++;
         if (read) {
-            double cost = readTime(p, missed);
-            p.sends.add(new Sent(now, cost));
-            p.load += cost;
+            a.cost = readTime(p, missed);
+            p.sends.add(new Sent(now, a.cost));
+            p.load += a.cost;
+            p.reads.put(r.id, a);
             noteHolder(r, p, true);
         } else {
             p.sends.add(new Sent(now, 0));
@@ -499,7 +513,6 @@
         firstTokens.learn(r.prompt(), e.tookMicros());
         heard(a.peer, true, e.tookMicros() / firstTokens.at(r.prompt()));
         settle(r);
-        starts.add(now);
         a.peer.served.add(now);
     }
 
@@ -512,6 +525,7 @@
         r.attempt = null;
         r.idleSince = now;
         a.peer.out--;
+        a.peer.reads.remove(r.id);
         a.peer.tokens -= a.tokens;
         a.peer.report(e.report());
         r.answered |= e.ended() || r.streaming || e.outcome() == Outcome.DONE;
@@ -741,18 +755,13 @@
 
     // ---- Admission and fairness -----------------------------------------------------------------------------
 
-    /**
-     * Little's law on what this router sees: those that wait for a first token, over first tokens a second. A request
-     * that would come late is refused at once; the classes worth less make room at the tightest aim of all.
-     */
+    /** What would come late by the queue at its best reader and the writers' recent first tokens is refused at once. */
     private boolean refusedAtDoor(Request r) {
-        double door = overShare(r.arrival.tenant()) ? OVER_SHARE_DOOR : DOOR;
-        double aim = r.aim;
-        for (RequestClass c : settings.classes()) {
-            aim = c.worth() > r.cls.worth() ? Math.min(aim, c.aimMicros()) : aim;
-        }
-        double ahead = waiting * PACE_WINDOW / Math.max(1, pace);
-        return waiting > ALWAYS_IN && ahead > door * aim;
+        boolean over = overShare(r.arrival.tenant());
+        boolean less = settings.classes().stream().anyMatch(c -> c.worth() > r.cls.worth());
+        double door = over ? OVER_SHARE_DOOR : less ? DOOR_FOR_LESS : DOOR;
+        double read = candidates(Role.READ, r).stream().mapToDouble(p -> completion(p, r)).min().orElse(0);
+        return waiting > ALWAYS_IN && read + firstTokens.at(r.prompt()) > door * r.aim;
     }
 
     /** Each router sees its part of a tenant's requests and grants that part of the share. */
@@ -833,6 +842,7 @@
         long since;
         final ArrayDeque<Sent> sends = new ArrayDeque<>();
         final ArrayDeque<Long> served = new ArrayDeque<>();
+        final Map<Long, Attempt> reads = new LinkedHashMap<>();
         double load;
         double memory;
         long tokens;
@@ -909,6 +919,7 @@
         final long missed;
         final long sentAt = now;
         long tokens;
+        double cost;
 
         Attempt(int number, Peer peer, boolean read, long missed) {
             this.number = number;
