--- a/src/main/java/sorrelhoist/Decide.java
+++ b/src/main/java/sorrelhoist/Decide.java
@@ -13,18 +13,22 @@
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import sorrelhoist.Routing.*;
+import sorrelhoist.State.*;
 
 /**
- * Every decision of a router, in one place. Its settings, events and actions are the records of {@link Routing}.
+ * Every decision of a router, in one place. Its settings, events and actions are the records of {@link
+ * Routing}.
  *
- * <p>One instance serves one router and is called by one thread. The caller owns time: {@code now} is its clock in
+ * <p>One instance serves one router and is called by one thread. The caller owns time: {@code now} is its
+ * clock in
  * microseconds and never goes back. Randomness comes from the seed alone: equal events give equal actions.
  *
- * <p>The ordinary path is the project's design (docs/design.md): a reader by exploit, explore or hash; after the
+ * <p>The ordinary path is the project's design (docs/design.md): a reader by exploit, explore or hash;
+ * after the
  * read a writer near it by two draws. What comes after it in this file acts only when something is wrong.
  */
 public final class Decide {
-    // ---- Constants: the design's defaults -------------------------------------------------------------------
+    // ---- Constants: the design's defaults -----------------------------------------------------------------
     /** H, microseconds: the sends that make up a reader's load L; the design's default. */
     private static final long LOAD_WINDOW = 10_000_000;
     /** W, microseconds: the requests that count as sharers of a kept key in M; the design's default. */
@@ -33,7 +37,8 @@
     private static final double SHIFT_THRESHOLD = 2;
     /** Share of memory from which M counts: below it a read evicts little that anybody wants. */
     private static final double NEAR_FULL = 0.9;
-    /** Microseconds after which an unused key is forgotten: a reader has then evicted it, or its session ended. */
+    /** Microseconds after which an unused key is forgotten: a reader has then evicted it, or its session
+     * ended. */
     private static final long KEY_AGE = 60_000_000;
     /** Keys kept at most, so that the table's memory is bounded whatever clients send. */
     private static final int MAX_KEYS = 50_000;
@@ -43,7 +48,7 @@
     private static final double FIRST_TOKEN_TIME = 60;
     private static final double FIRST_READ_TIME = 30_000;
 
-    // ---- Constants: health and time-outs --------------------------------------------------------------------
+    // ---- Constants: health and time-outs ------------------------------------------------------------------
     /** Weight of the newest outcome in a server's share of failures: two failures running pass FAILING. */
     private static final double OUTCOME_WEIGHT = 0.3;
     /** Share of failures from which a server is set aside. */
@@ -56,7 +61,8 @@
     private static final int SLOW_SAMPLES = 3;
     /** Good single requests in a row that bring a server back: one may be a failing server's luck. */
     private static final int TRIALS = 2;
-    /** Microseconds before the first single request to a server set aside; doubles up to the second figure. */
+    /** Microseconds before the first single request to a server set aside; doubles up to the second
+     * figure. */
     private static final long TRIAL_WAIT = 500_000;
     private static final long TRIAL_WAIT_MAX = 4_000_000;
     /** Share of a role's servers always kept as candidates: a fault common to all must not empty the set. */
@@ -65,18 +71,20 @@
     private static final long FULL_PAUSE = 200_000;
     /** An attempt may take this share of the remaining time, so that another fits if it hangs ... */
     private static final double CUT_SHARE = 0.6;
-    /** ... or this multiple of its expected time if more: where work goes on after a cut, an early one doubles it. */
+    /** ... or this multiple of its expected time if more: where work goes on after a cut, an early one
+     * doubles it. */
     private static final double CUT_FACTOR = 4;
     /** Retries allowed for each arrival, and at most saved up: bounds a retry storm. */
     private static final double RETRIES_PER_ARRIVAL = 0.2;
     private static final double RETRIES_SAVED = 10;
 
-    // ---- Constants: holding, admission, guards --------------------------------------------------------------
+    // ---- Constants: holding, admission, guards ------------------------------------------------------------
     /** Microseconds between looks for a writer while a state waits. */
     private static final long HOLD_STEP = 20_000;
     /** Share of the release limit for which a state may wait, the rest is for ticks and timers. */
     private static final double HOLD_SHARE = 0.5;
-    /** Share of the warm mean that a cold server may get, of what the rule would bear: others' sends are unseen. */
+    /** Share of the warm mean that a cold server may get, of what the rule would bear: others' sends are
+     * unseen. */
     private static final double COLD_SAFETY = 0.5;
     /** Share of the aim that a request may be expected to need: beyond it, it is refused at once. */
     private static final double DOOR = 1;
@@ -133,12 +141,14 @@
         require(s.routers() > 0, "routers");
         require(s.self() >= 0, "self");
         require(s.reports() != null, "reports");
-        require(s.classes() != null && !s.classes().isEmpty() && !s.classes().contains(null), "classes");
-        require(s.tenants() != null && !s.tenants().contains(null), "tenants");
-        require(s.kinds() != null && !s.kinds().isEmpty() && !s.kinds().contains(null), "kinds");
-        require(s.limits() != null && s.limits().maxAttempts() > 0 && s.limits().maxBackoffMicros() >= 0, "limits");
-        require(s.rules() != null && s.rules().releaseMicros() > 0 && s.rules().coldFrom() > 0
-                && s.rules().coldMicros() >= 0 && s.rules().fallMultiple() > 0 && s.rules().fallMicros() > 0, "rules");
+        require(whole(s.classes()) && !s.classes().isEmpty(), "classes");
+        require(whole(s.tenants()), "tenants");
+        require(whole(s.kinds()) && !s.kinds().isEmpty(), "kinds");
+        require(s.limits() != null && s.limits().maxAttempts() > 0, "limits");
+        require(s.limits().maxBackoffMicros() >= 0, "limits");
+        require(s.rules() != null && s.rules().releaseMicros() > 0 && s.rules().coldFrom() > 0, "rules");
+        require(s.rules().coldMicros() >= 0 && s.rules().fallMultiple() > 0, "rules");
+        require(s.rules().fallMicros() > 0, "rules");
         for (RequestClass c : s.classes()) {
             require(c.aimMicros() > 0 && c.repeat() != null && c.scope() != null, "classes");
         }
@@ -148,13 +158,17 @@
         return s;
     }
 
+    private static boolean whole(List<?> list) {
+        return list != null && list.stream().noneMatch(Objects::isNull);
+    }
+
     private static void require(boolean holds, String setting) {
         if (!holds) {
             throw new IllegalArgumentException("setting missing or inconsistent: " + setting);
         }
     }
 
-    // ---- Event dispatch -------------------------------------------------------------------------------------
+    // ---- Event dispatch -----------------------------------------------------------------------------------
 
     /**
      * Takes one event and says what to do about it, in order.
@@ -235,9 +249,10 @@
         }
     }
 
-    // ---- Ordinary path: the reader --------------------------------------------------------------------------
+    // ---- Ordinary path: the reader ------------------------------------------------------------------------
 
-    /** Exploit the holder of lowest cost when more matches than not; else explore; an unseen key goes by hash. */
+    /** Exploit the holder of lowest cost when more matches than not; else explore; an unseen key goes by
+     * hash. */
     private Peer pickReader(Request r, List<Peer> readers) {
         Key session = find(r.session());
         Key prefix = find(r.prefix());
@@ -285,8 +300,8 @@
 
     /** L: missed-token read time over own sends within H. */
     private double load(Peer p) {
-        while (!p.sends.isEmpty() && p.sends.peek().at < now - LOAD_WINDOW) {
-            p.load -= p.sends.poll().cost;
+        while (!p.sends.isEmpty() && p.sends.peek().at() < now - LOAD_WINDOW) {
+            p.load -= p.sends.poll().cost();
         }
         return p.sends.isEmpty() ? p.load = 0 : p.load;
     }
@@ -311,7 +326,8 @@
         return readLines.get(p.kind).at(tokens);
     }
 
-    /** Shift: exploit traffic of the heaviest reader goes to the lightest while their loads lie too far apart. */
+    /** Shift: exploit traffic of the heaviest reader goes to the lightest while their loads lie too far
+     * apart. */
     private Peer shifted(Peer chosen, List<Peer> readers) {
         Peer lightest = chosen;
         Peer heaviest = chosen;
@@ -324,8 +340,10 @@
     }
 
     /**
-     * Exception to the ordinary choice. Acts when the chosen reader's reads now out would take this one to more than
-     * twice the soonest reader's end and one mean read. Guards against a jam that ten seconds of sends do not show:
+     * Exception to the ordinary choice. Acts when the chosen reader's reads now out would take this one to
+     * more than
+     * twice the soonest reader's end and one mean read. Guards against a jam that ten seconds of sends do
+     * not show:
      * a hot beginning, a slow or hanging reader, other routers' traffic. Harm: a text is read and kept twice.
      */
     private Peer unjammed(Peer chosen, Request r, List<Peer> readers) {
@@ -337,7 +355,8 @@
         return completion(chosen, r) > bound ? soonest : chosen;
     }
 
-    /** Reads out there, the time by which the oldest is overdue (others' reads are ahead of it), and this one. */
+    /** Reads out there, the time by which the oldest is overdue (others' reads are ahead of it), and this
+     * one. */
     private double completion(Peer p, Request r) {
         double queue = p.reads.values().stream().mapToDouble(a -> a.cost).sum();
         Attempt oldest = p.reads.isEmpty() ? null : p.reads.values().iterator().next();
@@ -345,7 +364,8 @@
         return queue + overdue + readTime(p, missed(p, r));
     }
 
-    /** Highest hash of key and id wins: all routers agree, and a change of the list moves only its own keys. */
+    /** Highest hash of key and id wins: all routers agree, and a change of the list moves only its own
+     * keys. */
     private static Peer byHash(String key, List<Peer> sorted) {
         Peer best = null;
         long most = 0;
@@ -386,7 +406,7 @@
         }
     }
 
-    // ---- Ordinary path: the writer --------------------------------------------------------------------------
+    // ---- Ordinary path: the writer ------------------------------------------------------------------------
 
     /** Two draws in the reader's cell, else its zone, else all; fewer own tokens under way wins. */
     private Peer pickWriter(Peer reader, List<Peer> writers) {
@@ -410,21 +430,22 @@
     private boolean goesMixed(List<Peer> readers, List<Peer> writers, List<Peer> mixed) {
         double share = size(mixed);
         double all = share + size(readers) + size(writers);
-        return !mixed.isEmpty() && (readers.isEmpty() || writers.isEmpty() || random.nextDouble() * all < share);
+        boolean needed = readers.isEmpty() || writers.isEmpty();
+        return !mixed.isEmpty() && (needed || random.nextDouble() * all < share);
     }
 
     private static double size(List<Peer> of) {
         return of.stream().mapToDouble(p -> p.size).sum();
     }
 
-    // ---- Request life ---------------------------------------------------------------------------------------
+    // ---- Request life -------------------------------------------------------------------------------------
 
     private void arrived(Arrived a) {
         if (a.cls() < 0 || a.cls() >= settings.classes().size()) {
             throw new IllegalArgumentException("class " + a.cls() + " is not in the settings' classes");
         }
         if (requests.containsKey(a.id())) {
-            throw new IllegalArgumentException("request " + a.id() + " has arrived before: give each try a new id");
+            throw new IllegalArgumentException("request " + a.id() + " is open: give each try a new id");
         }
         Request r = new Request(a, settings.classes().get(a.cls()), now);
         requests.put(a.id(), r);
@@ -485,7 +506,7 @@
 
     private void send(Request r, Peer p, boolean read) {
         long missed = missed(p, r);
-        Attempt a = new Attempt(r.sends++, p, read, missed);
+        Attempt a = new Attempt(r.sends++, p, read, missed, now);
         r.attempt = a;
         double patience = CUT_FACTOR * (read ? readTime(p, missed) : firstTokens.at(r.prompt()));
         long cut = Math.min(r.deadline, now + (long) Math.max(CUT_SHARE * (r.deadline - now), patience));
@@ -556,7 +577,8 @@
             r.failed.remove(a.peer);
         }
         boolean free = e.outcome() == Outcome.CONNECT_FAILED;
-        if (!free && retries < 1) {
+        boolean over = r.mayHaveRunAt != null && r.cls.repeat() == Repeat.UNSAFE;
+        if (over || !free && retries < 1) {
             giveUp(r);
             return;
         }
@@ -603,7 +625,7 @@
         }
     }
 
-    // ---- Health and time-outs -------------------------------------------------------------------------------
+    // ---- Health and time-outs -----------------------------------------------------------------------------
 
     /** Servers of a role that may take this request now, the unhealthy only to keep the floor. */
     private List<Peer> candidates(Role role, Request r) {
@@ -626,10 +648,12 @@
 
     private List<Peer> serving(Role role, Predicate<Peer> which) {
         return peers.values().stream()
-                .filter(p -> p.serving() && settings.kinds().get(p.kind).role() == role && which.test(p)).toList();
+                .filter(p -> p.serving() && settings.kinds().get(p.kind).role() == role)
+                .filter(which).toList();
     }
 
-    /** A server set aside gets one request at a time after its wait, from a request that can afford a retry. */
+    /** A server set aside gets one request at a time after its wait, from a request that can afford a
+     * retry. */
     private Peer dueTrial(Role role, Request r) {
         if (!r.failed.isEmpty() || role == Role.WRITE && r.cls.repeat() != Repeat.SAFE) {
             return null;
@@ -681,7 +705,8 @@
         }
     }
 
-    /** One symptom scale for dead, failing, hanging and slow servers: share of failures, and time over expected. */
+    /** One symptom scale for dead, failing, hanging and slow servers: share of failures, and time over
+     * expected. */
     private void heard(Peer p, boolean good, double ratio) {
         p.bad += OUTCOME_WEIGHT * ((good ? 0 : 1) - p.bad);
         if (good) {
@@ -718,7 +743,7 @@
         }
     }
 
-    // ---- The list of servers --------------------------------------------------------------------------------
+    // ---- The list of servers ------------------------------------------------------------------------------
 
     private void members(Members e) {
         if (e.form() == ListForm.UNAVAILABLE) {
@@ -737,7 +762,8 @@
             p.take(s);
         }
         if (e.form() != ListForm.UPDATE) {
-            peers.values().stream().filter(p -> !named.contains(p.id)).forEach(p -> p.state = ServerState.GONE);
+            peers.values().stream().filter(p -> !named.contains(p.id))
+                    .forEach(p -> p.state = ServerState.GONE);
         }
     }
 
@@ -753,9 +779,10 @@
         p.load = 0;
     }
 
-    // ---- Admission and fairness -----------------------------------------------------------------------------
+    // ---- Admission and fairness ---------------------------------------------------------------------------
 
-    /** What would come late by the queue at its best reader and the writers' recent first tokens is refused at once. */
+    /** What would come late by the queue at its best reader and the writers' recent first tokens is
+     * refused at once. */
     private boolean refusedAtDoor(Request r) {
         boolean over = overShare(r.arrival.tenant());
         boolean less = settings.classes().stream().anyMatch(c -> c.worth() > r.cls.worth());
@@ -785,7 +812,7 @@
         return settings.limits().backoffHints() ? hint : 0;
     }
 
-    // ---- Rule guards ----------------------------------------------------------------------------------------
+    // ---- Rule guards --------------------------------------------------------------------------------------
 
     /** A repeat must be harmless: any server for safe classes, the group within its window for keyed ones. */
     private boolean mayRepeatAt(Request r, Peer p) {
@@ -810,8 +837,10 @@
     }
 
     /**
-     * A cold server's capacity is not told: this router sends it a part of what it has had served by a server of that
-     * role in the mean (sends would count a storm's retries as capacity), as if all routers did the same. Too careful when few warm servers are left; that is the safe side.
+     * A cold server's capacity is not told: this router sends it a part of what it has had served by a
+     * server of that
+     * role in the mean (sends would count a storm's retries as capacity), as if all routers did the same.
+     * Too careful when few warm servers are left; that is the safe side.
      */
     private boolean coldAllows(Peer p) {
         long age = now - p.since;
@@ -826,69 +855,7 @@
         return p.sentSince(now - rules.fallMicros()) + 1 <= Math.max(1, bearable);
     }
 
-    // ---- What is remembered ---------------------------------------------------------------------------------
-
-    private record Sent(long at, double cost) {
-    }
-
-    /** A server as this router knows it. */
-    private static final class Peer {
-        final String id;
-        int zone;
-        int kind;
-        int cell;
-        ServerState state = ServerState.GONE;
-        double size;
-        long since;
-        final ArrayDeque<Sent> sends = new ArrayDeque<>();
-        final ArrayDeque<Long> served = new ArrayDeque<>();
-        final Map<Long, Attempt> reads = new LinkedHashMap<>();
-        double load;
-        double memory;
-        long tokens;
-        int out;
-        double bad;
-        double slow = 1;
-        int heard;
-        boolean aside;
-        int good;
-        long trialAt;
-        long trialWait;
-        long fullUntil;
-        long probedAt;
-
-        Peer(String id) {
-            this.id = id;
-        }
-
-        void take(Server s) {
-            zone = s.zone();
-            kind = s.kind();
-            cell = s.cell();
-            state = s.state();
-            size = s.size();
-            since = s.since();
-        }
-
-        boolean serving() {
-            return state == ServerState.SERVING;
-        }
-
-        void report(Map<String, Double> values) {
-            memory = values.getOrDefault("x0", memory);
-        }
-
-        long servedSince(long from) {
-            while (!served.isEmpty() && served.peek() < from) {
-                served.poll();
-            }
-            return served.size();
-        }
-
-        long sentSince(long from) {
-            return sends.stream().filter(s -> s.at > from).count();
-        }
-    }
+    // ---- What is remembered -------------------------------------------------------------------------------
 
     private static final class Key {
         final String name;
@@ -912,68 +879,6 @@
         }
     }
 
-    private final class Attempt {
-        final int number;
-        final Peer peer;
-        final boolean read;
-        final long missed;
-        final long sentAt = now;
-        long tokens;
-        double cost;
-
-        Attempt(int number, Peer peer, boolean read, long missed) {
-            this.number = number;
-            this.peer = peer;
-            this.read = read;
-            this.missed = missed;
-        }
-    }
-
-    private static final class Request {
-        final long id;
-        final Arrived arrival;
-        final RequestClass cls;
-        final long arrivedAt;
-        final long deadline;
-        final double aim;
-        final Set<Peer> failed = new HashSet<>();
-        int sends;
-        Attempt attempt;
-        Peer reader;
-        long idleSince;
-        boolean answered;
-        boolean streaming;
-        boolean settled;
-        Peer mayHaveRunAt;
-        long mayHaveRunFrom;
-
-        Request(Arrived a, RequestClass cls, long now) {
-            this.id = a.id();
-            this.arrival = a;
-            this.cls = cls;
-            this.arrivedAt = now;
-            this.idleSince = now;
-            this.deadline = now + a.budgetMicros();
-            this.aim = cls.aimMicros() + cls.aimPer1000Micros() * a.promptTokens() / 1000.0;
-        }
-
-        String session() {
-            return arrival.session();
-        }
-
-        String prefix() {
-            return arrival.prefix();
-        }
-
-        long prompt() {
-            return arrival.promptTokens();
-        }
-
-        boolean waits() {
-            return attempt == null && !answered;
-        }
-    }
-
     /** A line through recent (tokens, time) pairs, the old ones fading. */
     private static final class Line {
         private double n = 1;
--- a/src/main/java/sorrelhoist/Routing.java
+++ b/src/main/java/sorrelhoist/Routing.java
@@ -44,8 +44,8 @@
      * @param scope for keyed classes: the servers that drop repeats
      * @param repeatWindowMicros for keyed classes: how long repeats are dropped, from the first send
      */
-    public record RequestClass(long aimMicros, long aimPer1000Micros, double worth, Repeat repeat, Scope scope,
-            long repeatWindowMicros) {
+    public record RequestClass(long aimMicros, long aimPer1000Micros, double worth, Repeat repeat,
+            Scope scope, long repeatWindowMicros) {
     }
 
     /**
@@ -108,8 +108,8 @@
      * @param rules the rules' figures
      */
     public record Settings(int routers, int self, int zone, boolean asksDiscovery, double overShareWorth,
-            Reports reports, List<RequestClass> classes, List<Tenant> tenants, List<Kind> kinds, Limits limits,
-            Rules rules) {
+            Reports reports, List<RequestClass> classes, List<Tenant> tenants, List<Kind> kinds,
+            Limits limits, Rules rules) {
     }
 
     /**
@@ -123,7 +123,8 @@
      * @param size for comparison with servers of the same role
      * @param since time of its last start; 0 for long ago
      */
-    public record Server(String id, int zone, int kind, int cell, ServerState state, double size, long since) {
+    public record Server(String id, int zone, int kind, int cell, ServerState state, double size,
+            long since) {
     }
 
     /** What a router tells the module. */
--- /dev/null
+++ b/src/main/java/sorrelhoist/State.java
@@ -0,0 +1,139 @@
+package sorrelhoist;
+
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import sorrelhoist.Routing.*;
+
+/** What {@link Decide} keeps about servers and requests: plain fields, no decision and no tuned value. */
+final class State {
+    private State() {
+    }
+
+    record Sent(long at, double cost) {
+    }
+
+    /** A server as this router knows it. */
+    static final class Peer {
+        final String id;
+        int zone;
+        int kind;
+        int cell;
+        ServerState state = ServerState.GONE;
+        double size;
+        long since;
+        final ArrayDeque<Sent> sends = new ArrayDeque<>();
+        final ArrayDeque<Long> served = new ArrayDeque<>();
+        final Map<Long, Attempt> reads = new LinkedHashMap<>();
+        double load;
+        double memory;
+        long tokens;
+        int out;
+        double bad;
+        double slow = 1;
+        int heard;
+        boolean aside;
+        int good;
+        long trialAt;
+        long trialWait;
+        long fullUntil;
+        long probedAt;
+
+        Peer(String id) {
+            this.id = id;
+        }
+
+        void take(Server s) {
+            zone = s.zone();
+            kind = s.kind();
+            cell = s.cell();
+            state = s.state();
+            size = s.size();
+            since = s.since();
+        }
+
+        boolean serving() {
+            return state == ServerState.SERVING;
+        }
+
+        void report(Map<String, Double> values) {
+            memory = values.getOrDefault("x0", memory);
+        }
+
+        long servedSince(long from) {
+            while (!served.isEmpty() && served.peek() < from) {
+                served.poll();
+            }
+            return served.size();
+        }
+
+        long sentSince(long from) {
+            return sends.stream().filter(s -> s.at > from).count();
+        }
+    }
+
+    static final class Attempt {
+        final int number;
+        final Peer peer;
+        final boolean read;
+        final long missed;
+        final long sentAt;
+        long tokens;
+        double cost;
+
+        Attempt(int number, Peer peer, boolean read, long missed, long sentAt) {
+            this.sentAt = sentAt;
+            this.number = number;
+            this.peer = peer;
+            this.read = read;
+            this.missed = missed;
+        }
+    }
+
+    static final class Request {
+        final long id;
+        final Arrived arrival;
+        final RequestClass cls;
+        final long arrivedAt;
+        final long deadline;
+        final double aim;
+        final Set<Peer> failed = new HashSet<>();
+        int sends;
+        Attempt attempt;
+        Peer reader;
+        long idleSince;
+        boolean answered;
+        boolean streaming;
+        boolean settled;
+        Peer mayHaveRunAt;
+        long mayHaveRunFrom;
+
+        Request(Arrived a, RequestClass cls, long now) {
+            this.id = a.id();
+            this.arrival = a;
+            this.cls = cls;
+            this.arrivedAt = now;
+            this.idleSince = now;
+            this.deadline = now + a.budgetMicros();
+            this.aim = cls.aimMicros() + cls.aimPer1000Micros() * a.promptTokens() / 1000.0;
+        }
+
+        String session() {
+            return arrival.session();
+        }
+
+        String prefix() {
+            return arrival.prefix();
+        }
+
+        long prompt() {
+            return arrival.promptTokens();
+        }
+
+        boolean waits() {
+            return attempt == null && !answered;
+        }
+    }
+}
--- a/src/main/java/sorrelhoist/wire/Inward.java
+++ b/src/main/java/sorrelhoist/wire/Inward.java
@@ -8,10 +8,12 @@
 /** Turns wire messages into settings and events. */
 final class Inward {
     private static final long MAX_ID = 1L << 52;
-    private static final Map<String, Role> ROLES = Map.of("read", Role.READ, "write", Role.WRITE, "both", Role.BOTH);
+    private static final Map<String, Role> ROLES = Map.of("read", Role.READ,
+            "write", Role.WRITE, "both", Role.BOTH);
     private static final Map<String, Repeat> REPEATS = Map.of("read_like", Repeat.SAFE,
             "idempotency_key", Repeat.KEYED, "non_idempotent", Repeat.UNSAFE);
-    private static final Map<String, Scope> SCOPES = Map.of("all", Scope.ALL, "zone", Scope.ZONE, "cell", Scope.CELL);
+    private static final Map<String, Scope> SCOPES = Map.of("all", Scope.ALL,
+            "zone", Scope.ZONE, "cell", Scope.CELL);
     private static final Map<String, Reports> REPORTS = Map.of("piggyback", Reports.IN_OUTCOMES,
             "pull", Reports.IN_PROBES, "silent", Reports.NONE);
     private static final Map<String, ServerState> STATES = Map.of("in_service", ServerState.SERVING,
@@ -87,7 +89,8 @@
             case "knock" -> arrived(m, settings);
             case "booking" -> new PlaceAnswered(id(m), m.text("worker"), m.whole("kind", 1) == 1);
             case "closed-attempt" -> new AttemptEnded(id(m), attempt(m), m.text("worker"),
-                    word(m, "reason", OUTCOMES), m.whole("took-us", 0), m.flag("ended"), m.whole("info", 0, 0),
+                    word(m, "reason", OUTCOMES), m.whole("took-us", 0), m.flag("ended"),
+                    m.whole("info", 0, 0),
                     m.inner("health-info").numbers());
             case "bell" -> new TimerFired(m.whole("label", 0));
             case "inbox" -> new PeerMessage((int) m.whole("src-peer", 0), m.text("body"));
--- a/src/main/java/sorrelhoist/wire/WireHost.java
+++ b/src/main/java/sorrelhoist/wire/WireHost.java
@@ -14,7 +14,7 @@
 import sorrelhoist.Routing.Event;
 import sorrelhoist.Routing.Settings;
 
-/** Hosts many instances of {@link Decide} on the line-by-line JSON wire. It translates and decides nothing. */
+/** Hosts many instances of {@link Decide} on the wire, JSON line by line: translates, decides nothing. */
 public final class WireHost {
     private static final int OK = 0;
     private static final int FAULT = 1;
@@ -41,7 +41,7 @@
     public int run(InputStream in, OutputStream out, PrintStream err) {
         long lineNumber = 0;
         try {
-            BufferedReader lines = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+            BufferedReader lines = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8));
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
                 lineNumber++;
                 out.write(reply(line, lineNumber).getBytes(StandardCharsets.UTF_8));
@@ -116,7 +116,8 @@
         } catch (WireException e) {
             throw e.at("boot-info");
         }
-        instances.put(id, new Instance(new Decide(settings, message.whole("nonce64", Long.MIN_VALUE)), settings));
+        long seed = message.whole("nonce64", Long.MIN_VALUE);
+        instances.put(id, new Instance(new Decide(settings, seed), settings));
     }
 
     private Instance instance(Fields message) throws WireException {
--- /dev/null
+++ b/src/test/java/sorrelhoist/DecideTest.java
@@ -0,0 +1,361 @@
+package sorrelhoist;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static sorrelhoist.Fixtures.*;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import sorrelhoist.Routing.*;
+
+/** Each test is named after the failure that it guards against. */
+class DecideTest {
+    private final Decide decide = start(plain(), fleet());
+    private long now = 10 * SECOND;
+
+    private static Decide start(Settings settings, List<Server> servers) {
+        Decide d = new Decide(settings, 7);
+        d.on(10 * SECOND, new Members(ListForm.RESTORED, servers));
+        return d;
+    }
+
+    private Send arrive(long id, String session, String prefix, long prompt, long prefixTokens) {
+        return send(decide.on(now, request(id, session, prefix, prompt, prefixTokens)));
+    }
+
+    private Send read(Send s, long kept) {
+        now += 50_000;
+        return send(decide.on(now, ended(s, 0, Outcome.READ, 50_000, kept)));
+    }
+
+    /** Reads and answers one request to its end; returns the reader. */
+    private String serve(long id, String session, String prefix, long prompt, long prefixTokens, long kept) {
+        Send s = arrive(id, session, prefix, prompt, prefixTokens);
+        Send w = read(s, kept);
+        decide.on(now, new StreamStarted(id, 1, w.server(), 20_000));
+        decide.on(now, ended(w, 1, Outcome.DONE, 20_000, 0));
+        return s.server();
+    }
+
+    @Test
+    void aSessionIsReadWhereItsTextIsKept() {
+        String first = serve(1, "a", null, 1000, 0, 0);
+        for (int turn = 2; turn < 6; turn++) {
+            now += 11 * SECOND;
+            assertEquals(first, serve(turn, "a", null, 1000 + 100 * turn, 0, 1000));
+        }
+    }
+
+    @Test
+    void routersAgreeOnTheReaderOfAnUnseenPrefix() {
+        Set<String> readers = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            String prefix = "p" + i;
+            Decide other = new Decide(plain(), 1000 + i);
+            other.on(0, new Members(ListForm.RESTORED, fleet()));
+            String here = send(start(plain(), fleet()).on(10 * SECOND, request(1, "x", prefix, 900, 800))).server();
+            assertEquals(here, send(other.on(0, request(1, "y", prefix, 900, 800))).server());
+            readers.add(here);
+        }
+        assertTrue(readers.size() > 2, "the hash should spread keys: " + readers);
+    }
+
+    @Test
+    void anUnmatchedRestExploresTheLightestReader() {
+        String holder = serve(1, "a", "p", 4000, 1000, 0);
+        assertNotEquals(holder, arrive(2, "b", "p", 4000, 1000).server());
+    }
+
+    @Test
+    void exploitTrafficOfTheHeaviestReaderShifts() {
+        String home = serve(1, "s0", "p", 1000, 900, 0);
+        Set<String> readers = new HashSet<>();
+        for (int i = 2; i < 60; i++) {
+            readers.add(serve(i, "s" + i, "p", 1400, 900, 900));
+        }
+        assertTrue(readers.contains(home) && readers.size() > 1, "only " + readers);
+    }
+
+    @Test
+    void theWriterIsChosenNearTheReaderAfterTheRead() {
+        for (int i = 0; i < 30; i++) {
+            List<Action> onArrival = decide.on(now, request(i, "s" + i, null, 800, 0));
+            Send s = send(onArrival);
+            assertTrue(all(onArrival, Reserve.class).isEmpty());
+            Send w = read(s, 0);
+            boolean near = List.of("r1", "r2").contains(s.server());
+            assertTrue(List.of(near ? "w1" : "w3", near ? "w2" : "w4").contains(w.server()), s + " then " + w);
+        }
+    }
+
+    @Test
+    void aRestartForgetsWhatTheServerKept() {
+        Send first = arrive(1, "a", null, 4000, 0);
+        read(first, 0);
+        Server home = fleet().stream().filter(s -> s.id().equals(first.server())).findFirst().orElseThrow();
+        decide.on(now, new Members(ListForm.UPDATE, List.of(with(home, ServerState.SERVING, now))));
+        now += 13 * SECOND;
+        decide.on(now, new TimerFired(99));
+        Set<String> readers = new HashSet<>();
+        for (int i = 2; i < 6; i++) {
+            readers.add(arrive(i, "a" + i, null, 4000, 0).server());
+        }
+        assertTrue(readers.size() > 1);
+    }
+
+    @Test
+    void aRefusedConnectIsRetriedElsewhereAtOnce() {
+        Send s = arrive(1, "a", null, 1000, 0);
+        Send again = send(decide.on(now + 300, ended(s, 0, Outcome.CONNECT_FAILED, 300, 0)));
+        assertNotEquals(s.server(), again.server());
+    }
+
+    @Test
+    void aBlackHoleLeavesTimeForAnotherAttempt() {
+        Send s = arrive(1, "a", null, 1000, 0);
+        assertTrue(s.cutAt() - now < 3 * SECOND, "cut after " + (s.cutAt() - now));
+        now = s.cutAt();
+        assertNotEquals(s.server(), send(decide.on(now, ended(s, 0, Outcome.TIMED_OUT, 0, 0))).server());
+    }
+
+    @Test
+    void aFastFailerThatLooksIdleIsSetAside() {
+        int hits = 0;
+        for (int i = 0; i < 40; i++) {
+            Send s = arrive(i, "s" + i, null, 1000, 0);
+            now += 40_000;
+            if (s.server().equals("r1")) {
+                hits++;
+                s = send(decide.on(now, ended(s, 0, Outcome.ERROR, 1000, 0)));
+                decide.on(now, ended(s, 1, Outcome.READ, 30_000, 0));
+            } else {
+                decide.on(now, ended(s, 0, Outcome.READ, 30_000, 0));
+            }
+        }
+        assertTrue(hits >= 1 && hits <= 6, "hits " + hits);
+    }
+
+    @Test
+    void aSlowReaderIsSetAsideAndComesBack() {
+        int slowHits = 0;
+        for (int i = 0; i < 60; i++) {
+            now += 50_000;
+            Send s = arrive(i, "s" + i, null, 1000, 0);
+            boolean slow = s.server().equals("r1");
+            slowHits += slow && i >= 30 ? 1 : 0;
+            decide.on(now, ended(s, 0, Outcome.READ, slow ? 900_000 : 40_000, 0));
+        }
+        assertTrue(slowHits <= 4, "sent " + slowHits);
+        int later = 0;
+        for (int i = 60; i < 300; i++) {
+            now += 50_000;
+            Send s = arrive(i, "s" + i, null, 1000, 0);
+            later += s.server().equals("r1") ? 1 : 0;
+            decide.on(now, ended(s, 0, Outcome.READ, 40_000, 0));
+        }
+        assertTrue(later > 8, "came back with " + later);
+    }
+
+    @Test
+    void aFaultCommonToAllLeavesCandidates() {
+        int sends = 0;
+        for (int i = 0; i < 80; i++) {
+            now += 100_000;
+            List<Action> actions = decide.on(now, request(i, "s" + i, null, 1000, 0));
+            for (int n = 0; !all(actions, Send.class).isEmpty(); n++) {
+                sends++;
+                actions = decide.on(now, ended(send(actions), n, Outcome.ERROR, 500, 0));
+            }
+        }
+        assertTrue(sends >= 80, "sends " + sends);
+    }
+
+    @Test
+    void aRetryStormIsBounded() {
+        int sends = 0;
+        for (int i = 0; i < 200; i++) {
+            now += 20_000;
+            List<Action> actions = decide.on(now, request(i, "s" + i, null, 1000, 0));
+            for (int n = 0; !all(actions, Send.class).isEmpty(); n++) {
+                sends++;
+                actions = decide.on(now, ended(send(actions), n, Outcome.ERROR, 500, 0));
+            }
+        }
+        assertTrue(sends < 270, "sends " + sends);
+    }
+
+    @Test
+    void aDrainIsObeyedAtOnce() {
+        List<Server> draining = fleet().stream().map(s -> s.id().equals("r1") || s.id().equals("w1")
+                ? with(s, ServerState.DRAINING, 0) : s).toList();
+        decide.on(now, new Members(ListForm.COMPLETE, draining));
+        for (int i = 0; i < 40; i++) {
+            Send s = arrive(i, "s" + i, null, 1000, 0);
+            assertNotEquals("r1", s.server());
+            assertNotEquals("w1", read(s, 0).server());
+        }
+    }
+
+    @Test
+    void aStateIsLetGoWhenNoWriterIsThere() {
+        Decide d = start(plain(), List.of(reader("r1", 0)));
+        Send s = send(d.on(now, request(1, "a", null, 1000, 0)));
+        List<Action> actions = new ArrayList<>(d.on(now, ended(s, 0, Outcome.READ, 40_000, 0)));
+        long until = now;
+        while (all(actions, Release.class).isEmpty()) {
+            until += all(actions, Timer.class).get(0).delayMicros();
+            actions = d.on(until, new TimerFired(1));
+        }
+        assertTrue(until - now < RELEASE);
+        assertEquals(1, all(actions, Refuse.class).size());
+    }
+
+    @Test
+    void aStateReadForADepartedClientIsLetGo() {
+        Send s = arrive(1, "a", null, 1000, 0);
+        assertEquals(1, all(decide.on(now, new ClientGone(1)), Cancel.class).size());
+        assertEquals(List.of(new Release(1)), decide.on(now, ended(s, 0, Outcome.READ, 40_000, 0)));
+    }
+
+    @Test
+    void aLostStateIsReadAgain() {
+        Send w = read(arrive(1, "a", null, 1000, 0), 0);
+        Send again = send(decide.on(now, ended(w, 1, Outcome.FULL, 500, 1)));
+        assertTrue(again.server().startsWith("r"));
+    }
+
+    @Test
+    void anUnsafeRequestThatMayHaveRunFails() {
+        Decide d = start(settings(Repeat.UNSAFE, Scope.ALL, false, List.of()), fleet());
+        Send s = send(d.on(now, request(1, "a", null, 1000, 0)));
+        Send w = send(d.on(now, ended(s, 0, Outcome.READ, 40_000, 0)));
+        List<Action> actions = d.on(now, ended(w, 1, Outcome.RESET, 500, 0));
+        assertEquals(1, all(actions, Fail.class).size());
+        assertTrue(all(actions, Send.class).isEmpty() && all(actions, Refuse.class).isEmpty());
+    }
+
+    @Test
+    void aKeyedRequestThatMayHaveRunStaysInItsGroup() {
+        Decide d = start(settings(Repeat.KEYED, Scope.CELL, false, List.of()), fleet());
+        Send s = send(d.on(now, request(1, "a", null, 1000, 0)));
+        Send w = send(d.on(now, ended(s, 0, Outcome.READ, 40_000, 0)));
+        Send again = send(d.on(now, ended(w, 1, Outcome.ERROR, 500, 0)));
+        Set<String> cell = w.server().matches("w[12]") ? Set.of("w1", "w2") : Set.of("w3", "w4");
+        assertTrue(cell.contains(again.server()));
+    }
+
+    @Test
+    void aColdServerIsNotPushedOver() {
+        List<Server> cold = fleet().stream().map(s -> s.id().equals("r1")
+                ? with(s, ServerState.SERVING, now) : s).toList();
+        decide.on(now, new Members(ListForm.COMPLETE, cold));
+        int sent = 0;
+        for (int i = 0; i < 30; i++) {
+            now += 100_000;
+            Send s = arrive(i, "s" + i, null, 1000, 0);
+            sent += s.server().equals("r1") ? 1 : 0;
+            decide.on(now, ended(s, 0, Outcome.READ, 40_000, 0));
+        }
+        assertTrue(sent <= 4, "sent " + sent);
+    }
+
+    @Test
+    void anEmptyListRefusesAtOnceWithAHint() {
+        Decide d = start(plain(), List.of());
+        List<Refuse> refused = all(d.on(now, request(1, null, null, 1000, 0)), Refuse.class);
+        assertEquals(1, refused.size());
+        assertTrue(refused.get(0).backoffMicros() > 0);
+    }
+
+    @Test
+    void writersThatReadAnswerWhenNoReaderIsLeft() {
+        List<Server> writers = List.of(writer("w1", 0));
+        assertEquals("w1", send(start(settings(Repeat.SAFE, Scope.ALL, true, List.of()), writers)
+                .on(now, request(1, "a", null, 1000, 0))).server());
+        assertTrue(all(start(plain(), writers).on(now, request(1, "a", null, 1000, 0)), Send.class).isEmpty());
+    }
+
+    @Test
+    void mixedServersTakeTheirShareWhole() {
+        List<Server> fleet = new ArrayList<>(fleet());
+        fleet.add(new Server("m1", 0, 2, 0, ServerState.SERVING, 8, 0));
+        Decide d = start(plain(), fleet);
+        int mixed = 0;
+        for (int i = 0; i < 100; i++) {
+            now += 100_000;
+            Send s = send(d.on(now, request(i, "s" + i, null, 100, 0)));
+            mixed += s.server().equals("m1") ? 1 : 0;
+            Outcome outcome = s.server().equals("m1") ? Outcome.DONE : Outcome.READ;
+            d.on(now, ended(s, 0, outcome, 10_000, 0));
+        }
+        assertTrue(mixed > 25 && mixed < 75, "mixed " + mixed);
+    }
+
+    @Test
+    void aTenantBeyondItsShareMakesRoomFirst() {
+        Decide d = start(settings(Repeat.SAFE, Scope.ALL, false, List.of(new Tenant(2), new Tenant(50))), fleet());
+        int[] refused = new int[2];
+        for (int i = 0; i < 200; i++) {
+            now += 10_000;
+            Arrived a = new Arrived(i, 0, i % 2, "s" + i, null, 3000, 0, 200, 4 * SECOND);
+            refused[i % 2] += all(d.on(now, a), Refuse.class).size();
+        }
+        assertTrue(refused[0] > refused[1], refused[0] + " against " + refused[1]);
+    }
+
+    @Test
+    void aFailedCallToDiscoveryIsRepeatedLater() {
+        Decide d = new Decide(settings(Repeat.SAFE, Scope.ALL, false, List.of(), true, Reports.NONE, false, true, 5), 1);
+        assertTrue(d.on(now, new Members(ListForm.RESTORED, fleet())).contains(new Follow(true)));
+        Timer again = all(d.on(now, new Members(ListForm.UNAVAILABLE, List.of())), Timer.class).get(0);
+        assertTrue(d.on(now + again.delayMicros(), new TimerFired(again.token())).contains(new Follow(true)));
+    }
+
+    @Test
+    void probesAreSentOnlyWhereAllowedAndNeeded() {
+        Settings pull = settings(Repeat.SAFE, Scope.ALL, false, List.of(), false, Reports.IN_PROBES, true, true, 5);
+        for (Settings s : List.of(pull, plain())) {
+            Decide d = new Decide(s, 1);
+            Timer tick = all(d.on(now, new Members(ListForm.RESTORED, fleet())), Timer.class).get(0);
+            List<Action> later = d.on(now + tick.delayMicros(), new TimerFired(tick.token()));
+            assertEquals(s == pull, !all(later, Probe.class).isEmpty());
+        }
+    }
+
+    @Test
+    void oddButLegalHistoriesDoNotThrow() {
+        Send s = arrive(1, "a", null, 1000, 0);
+        decide.on(now, new ClientGone(1));
+        decide.on(now, new ClientGone(1));
+        decide.on(now, ended(s, 0, Outcome.CANCELLED, 10, 0));
+        decide.on(now, ended(s, 0, Outcome.READ, 10, 0));
+        decide.on(now, new TimerFired(1));
+        decide.on(now, new TimerFired(1));
+        decide.on(now, new StreamStarted(1, 0, "r1", 5));
+        decide.on(now, new ProbeAnswered("never-listed", Outcome.DONE, 5, java.util.Map.of()));
+        decide.on(now, new PeerMessage(1, "hi"));
+        decide.on(now, new Members(ListForm.COMPLETE, List.of()));
+        decide.on(now, new Members(ListForm.COMPLETE, fleet()));
+        assertFalse(all(decide.on(now, request(2, "a", null, 1000, 0)), Send.class).isEmpty());
+    }
+
+    @Test
+    void misuseSaysWhatToDoInstead() {
+        assertThrows(IllegalArgumentException.class, () -> decide.on(5, new TimerFired(1)));
+        assertThrows(NullPointerException.class, () -> decide.on(now, null));
+        arrive(1, "a", null, 10, 0);
+        assertThrows(IllegalArgumentException.class, () -> decide.on(now, request(1, "a", null, 10, 0)));
+        Settings p = plain();
+        Settings noKinds = new Settings(2, 0, 0, false, 1, Reports.NONE, p.classes(), List.of(), List.of(),
+                p.limits(), p.rules());
+        assertEquals("setting missing or inconsistent: kinds",
+                assertThrows(IllegalArgumentException.class, () -> new Decide(noKinds, 1)).getMessage());
+        assertThrows(IllegalArgumentException.class, () -> new Decide(null, 1));
+    }
+}
