--- a/src/main/java/sorrelhoist/Decide.java
+++ b/src/main/java/sorrelhoist/Decide.java
@@ -83,9 +83,8 @@
     private static final long HOLD_STEP = 20_000;
     /** Share of the release limit for which a state may wait, the rest is for ticks and timers. */
     private static final double HOLD_SHARE = 0.5;
-    /** Share of the warm mean that a cold server may get, of what the rule would bear: others' sends are
-     * unseen. */
-    private static final double COLD_SAFETY = 0.5;
+    /** Share of what the cold rule would bear that is used: the mix of classes and others' sends are unseen. */
+    private static final double COLD_SAFETY = 0.8;
     /** Share of the aim that a request may be expected to need: beyond it, it is refused at once. */
     private static final double DOOR = 1;
     /** The same where a class of more worth, or a tenant within its share, needs the room. */
@@ -118,6 +117,7 @@
     private long now = Long.MIN_VALUE;
     private boolean started;
     private double retries = RETRIES_SAVED;
+    private final double[] mostServed = new double[Role.values().length];
     private int waiting;
     private List<Action> out = new ArrayList<>();
 
@@ -231,6 +231,12 @@
 
     private void tick() {
         act(new Timer(TICK, TICK_TOKEN));
+        for (Role role : Role.values()) {
+            List<Peer> all = serving(role, p -> true);
+            double served = all.stream().mapToLong(p -> p.servedSince(now - LOAD_WINDOW)).sum();
+            int i = role.ordinal();
+            mostServed[i] = Math.max(mostServed[i], served / Math.max(1, all.size()));
+        }
         var eldest = keys.entrySet().iterator();
         while (eldest.hasNext()) {
             Key k = eldest.next().getValue();
@@ -837,10 +843,9 @@
     }
 
     /**
-     * A cold server's capacity is not told: this router sends it a part of what it has had served by a
-     * server of that
-     * role in the mean (sends would count a storm's retries as capacity), as if all routers did the same.
-     * Too careful when few warm servers are left; that is the safe side.
+     * A cold server's capacity is not told. A warm one can do at least the most that this router has had served by a
+     * server of its role in the mean; sends would count a storm's retries, and the present would count an outage. All
+     * routers granting that part of their own, their sum stays under the rule's multiple of the cold start.
      */
     private boolean coldAllows(Peer p) {
         long age = now - p.since;
@@ -848,9 +853,7 @@
             return true;
         }
         Rules rules = settings.rules();
-        List<Peer> role = serving(settings.kinds().get(p.kind).role(), q -> true);
-        long recent = role.stream().mapToLong(q -> q.servedSince(now - LOAD_WINDOW)).sum();
-        double mean = (double) recent / role.size() * rules.fallMicros() / LOAD_WINDOW;
+        double mean = mostServed[settings.kinds().get(p.kind).role().ordinal()] * rules.fallMicros() / LOAD_WINDOW;
         double bearable = COLD_SAFETY * rules.fallMultiple() * rules.coldFrom() * mean;
         return p.sentSince(now - rules.fallMicros()) + 1 <= Math.max(1, bearable);
     }
