Judge writers by overdue first tokens and by answer times

Cause: a slow writer kept its draws, and the door learnt of writers' queues seconds late. A writer whose oldest first token lags is passed over; answer times feed the one slowness scale; the door adds the mean lag. The line and the check of settings, which decide nothing, leave the module.

--- a/src/main/java/sorrelhoist/Decide.java
+++ b/src/main/java/sorrelhoist/Decide.java
@@ -44,9 +44,10 @@
     private static final int MAX_KEYS = 50_000;
     /** Share by which a past read weighs less after each new one in the learnt line: about 50 reads count. */
     private static final double FIT_DECAY = 0.98;
-    /** Microseconds a token and a read take before any has been seen; a few reads outweigh it. */
-    private static final double FIRST_TOKEN_TIME = 60;
-    private static final double FIRST_READ_TIME = 30_000;
+    /** Tokens, microseconds, microseconds a token that a line starts from; real pairs outweigh it. */
+    private static final double FIRST_TOKENS = 1000;
+    private static final double FIRST_BASE = 30_000;
+    private static final double FIRST_SLOPE = 60;
 
     // ---- Constants: health and time-outs ------------------------------------------------------------------
     /** Weight of the newest outcome in a server's share of failures: two failures running pass FAILING. */
@@ -79,11 +80,13 @@
     private static final double RETRIES_SAVED = 10;
 
     // ---- Constants: holding, admission, guards ------------------------------------------------------------
+    /** Microseconds by which a writer may lag behind the best before it is passed over. */
+    private static final double WRITER_JAM = 200_000;
     /** Microseconds between looks for a writer while a state waits. */
     private static final long HOLD_STEP = 20_000;
     /** Share of the release limit for which a state may wait, the rest is for ticks and timers. */
     private static final double HOLD_SHARE = 0.5;
-    /** Share of what the cold rule would bear that is used: the mix of classes and others' sends are unseen. */
+    /** Share of what the cold rule would bear that is used: the mix of classes, others' sends are unseen. */
     private static final double COLD_SAFETY = 0.8;
     /** Share of the aim that a request may be expected to need: beyond it, it is refused at once. */
     private static final double DOOR = 1;
@@ -111,7 +114,8 @@
     private final Map<Long, Request> requests = new LinkedHashMap<>();
     private final LinkedHashMap<String, Key> keys = new LinkedHashMap<>(256, 0.75f, true);
     private final List<Line> readLines = new ArrayList<>();
-    private final Line firstTokens = new Line();
+    private final Line firstTokens = newLine();
+    private final Line answers = newLine();
     private final double[] tenantSaved;
     private final long[] tenantAt;
     private long now = Long.MIN_VALUE;
@@ -129,45 +133,13 @@
      * @throws IllegalArgumentException naming the setting that is missing or inconsistent
      */
     public Decide(Settings settings, long seed) {
-        this.settings = checked(settings);
+        this.settings = SettingsCheck.checked(settings);
         this.random = new SplittableRandom(seed);
-        settings.kinds().forEach(k -> readLines.add(new Line()));
+        settings.kinds().forEach(k -> readLines.add(newLine()));
         tenantSaved = new double[settings.tenants().size()];
         tenantAt = new long[settings.tenants().size()];
     }
 
-    private static Settings checked(Settings s) {
-        require(s != null, "settings");
-        require(s.routers() > 0, "routers");
-        require(s.self() >= 0, "self");
-        require(s.reports() != null, "reports");
-        require(whole(s.classes()) && !s.classes().isEmpty(), "classes");
-        require(whole(s.tenants()), "tenants");
-        require(whole(s.kinds()) && !s.kinds().isEmpty(), "kinds");
-        require(s.limits() != null && s.limits().maxAttempts() > 0, "limits");
-        require(s.limits().maxBackoffMicros() >= 0, "limits");
-        require(s.rules() != null && s.rules().releaseMicros() > 0 && s.rules().coldFrom() > 0, "rules");
-        require(s.rules().coldMicros() >= 0 && s.rules().fallMultiple() > 0, "rules");
-        require(s.rules().fallMicros() > 0, "rules");
-        for (RequestClass c : s.classes()) {
-            require(c.aimMicros() > 0 && c.repeat() != null && c.scope() != null, "classes");
-        }
-        for (Kind k : s.kinds()) {
-            require(k.role() != null, "kinds");
-        }
-        return s;
-    }
-
-    private static boolean whole(List<?> list) {
-        return list != null && list.stream().noneMatch(Objects::isNull);
-    }
-
-    private static void require(boolean holds, String setting) {
-        if (!holds) {
-            throw new IllegalArgumentException("setting missing or inconsistent: " + setting);
-        }
-    }
-
     // ---- Event dispatch -----------------------------------------------------------------------------------
 
     /**
@@ -210,6 +182,10 @@
         return out;
     }
 
+    private static Line newLine() {
+        return new Line(FIT_DECAY, FIRST_TOKENS, FIRST_BASE, FIRST_SLOPE);
+    }
+
     private void act(Action action) {
         out.add(action);
     }
@@ -233,7 +209,8 @@
         act(new Timer(TICK, TICK_TOKEN));
         for (Role role : Role.values()) {
             List<Peer> all = serving(role, p -> true);
-            double served = all.stream().mapToLong(p -> p.servedSince(now - LOAD_WINDOW)).sum();
+            long from = now - settings.rules().fallMicros();
+            double served = all.stream().mapToLong(p -> p.servedSince(from)).sum();
             int i = role.ordinal();
             mostServed[i] = Math.max(mostServed[i], served / Math.max(1, all.size()));
         }
@@ -364,10 +341,14 @@
     /** Reads out there, the time by which the oldest is overdue (others' reads are ahead of it), and this
      * one. */
     private double completion(Peer p, Request r) {
-        double queue = p.reads.values().stream().mapToDouble(a -> a.cost).sum();
-        Attempt oldest = p.reads.isEmpty() ? null : p.reads.values().iterator().next();
-        double overdue = oldest == null ? 0 : Math.max(0, now - oldest.sentAt - oldest.cost);
-        return queue + overdue + readTime(p, missed(p, r));
+        double queue = p.waiting.values().stream().mapToDouble(a -> a.cost).sum();
+        return queue + overdue(p) + readTime(p, missed(p, r));
+    }
+
+    /** How long the oldest of the own attempts that wait at the server has taken beyond what was expected. */
+    private double overdue(Peer p) {
+        Attempt oldest = p.waiting.isEmpty() ? null : p.waiting.values().iterator().next();
+        return oldest == null ? 0 : Math.max(0, now - oldest.sentAt - oldest.cost);
     }
 
     /** Highest hash of key and id wins: all routers agree, and a change of the list moves only its own
@@ -414,13 +395,19 @@
 
     // ---- Ordinary path: the writer ------------------------------------------------------------------------
 
-    /** Two draws in the reader's cell, else its zone, else all; fewer own tokens under way wins. */
+    /**
+     * Two draws in the reader's cell, else its zone, else all; fewer own tokens under way wins. Exception:
+     * where a first token is long overdue at the winner, the writer least behind takes it. Guards against a
+     * full, slow or hanging writer that tokens do not show; harm: the state crosses cells.
+     */
     private Peer pickWriter(Peer reader, List<Peer> writers) {
         List<Peer> near = writers.stream().filter(p -> p.cell == reader.cell).toList();
         if (near.isEmpty()) {
             near = writers.stream().filter(p -> p.zone == reader.zone).toList();
         }
-        return lighterOfTwo(near.isEmpty() ? writers : near);
+        Peer chosen = lighterOfTwo(near.isEmpty() ? writers : near);
+        Peer soonest = writers.stream().min(Comparator.comparingDouble(this::overdue)).orElse(null);
+        return chosen != null && overdue(chosen) > WRITER_JAM + overdue(soonest) ? soonest : chosen;
     }
 
     private Peer lighterOfTwo(List<Peer> from) {
@@ -521,12 +508,13 @@
             a.cost = readTime(p, missed);
             p.sends.add(new Sent(now, a.cost));
             p.load += a.cost;
-            p.reads.put(r.id, a);
             noteHolder(r, p, true);
         } else {
+            a.cost = firstTokens.at(r.prompt());
             p.sends.add(new Sent(now, 0));
             p.tokens += a.tokens = r.prompt() + r.arrival.maxTokens();
         }
+        p.waiting.put(r.id, a);
         act(new Send(r.id, p.id, cut));
     }
 
@@ -541,6 +529,7 @@
         heard(a.peer, true, e.tookMicros() / firstTokens.at(r.prompt()));
         settle(r);
         a.peer.served.add(now);
+        a.peer.waiting.remove(r.id);
     }
 
     private void attemptEnded(AttemptEnded e) {
@@ -552,7 +541,7 @@
         r.attempt = null;
         r.idleSince = now;
         a.peer.out--;
-        a.peer.reads.remove(r.id);
+        a.peer.waiting.remove(r.id);
         a.peer.tokens -= a.tokens;
         a.peer.report(e.report());
         r.answered |= e.ended() || r.streaming || e.outcome() == Outcome.DONE;
@@ -685,9 +674,8 @@
                 noteHolder(r, a.peer, true);
             }
             case DONE -> {
-                if (!r.streaming) {
-                    heard(a.peer, true, e.tookMicros() / firstTokens.at(r.prompt()));
-                }
+                answers.learn(r.arrival.maxTokens(), e.tookMicros());
+                heard(a.peer, true, e.tookMicros() / answers.at(r.arrival.maxTokens()));
             }
             case FULL -> {
                 if (e.note() != 1) {
@@ -794,7 +782,8 @@
         boolean less = settings.classes().stream().anyMatch(c -> c.worth() > r.cls.worth());
         double door = over ? OVER_SHARE_DOOR : less ? DOOR_FOR_LESS : DOOR;
         double read = candidates(Role.READ, r).stream().mapToDouble(p -> completion(p, r)).min().orElse(0);
-        return waiting > ALWAYS_IN && read + firstTokens.at(r.prompt()) > door * r.aim;
+        double write = candidates(Role.WRITE, r).stream().mapToDouble(this::overdue).average().orElse(0);
+        return waiting > ALWAYS_IN && read + write + firstTokens.at(r.prompt()) > door * r.aim;
     }
 
     /** Each router sees its part of a tenant's requests and grants that part of the share. */
@@ -843,9 +832,9 @@
     }
 
     /**
-     * A cold server's capacity is not told. A warm one can do at least the most that this router has had served by a
-     * server of its role in the mean; sends would count a storm's retries, and the present would count an outage. All
-     * routers granting that part of their own, their sum stays under the rule's multiple of the cold start.
+     * A cold server's capacity is not told. A warm one can do at least the most that this router has had
+     * served in a like window by its role's servers in the mean; sends would count a storm's retries, the
+     * present an outage. All routers granting that part of theirs, the sum stays under the rule's multiple.
      */
     private boolean coldAllows(Peer p) {
         long age = now - p.since;
@@ -853,8 +842,8 @@
             return true;
         }
         Rules rules = settings.rules();
-        double mean = mostServed[settings.kinds().get(p.kind).role().ordinal()] * rules.fallMicros() / LOAD_WINDOW;
-        double bearable = COLD_SAFETY * rules.fallMultiple() * rules.coldFrom() * mean;
+        double most = mostServed[settings.kinds().get(p.kind).role().ordinal()];
+        double bearable = COLD_SAFETY * rules.fallMultiple() * rules.coldFrom() * most;
         return p.sentSince(now - rules.fallMicros()) + 1 <= Math.max(1, bearable);
     }
 
@@ -881,31 +870,4 @@
             return seen.size();
         }
     }
-
-    /** A line through recent (tokens, time) pairs, the old ones fading. */
-    private static final class Line {
-        private double n = 1;
-        private double x = 1000;
-        private double y = FIRST_READ_TIME + 1000 * FIRST_TOKEN_TIME;
-        private double xx = 2e6;
-        private double xy = 1000 * FIRST_READ_TIME + 2e6 * FIRST_TOKEN_TIME;
-
-        void learn(double tokens, double time) {
-            n = n * FIT_DECAY + 1;
-            x = x * FIT_DECAY + tokens;
-            y = y * FIT_DECAY + time;
-            xx = xx * FIT_DECAY + tokens * tokens;
-            xy = xy * FIT_DECAY + tokens * time;
-        }
-
-        double mean() {
-            return y / n;
-        }
-
-        double at(double tokens) {
-            double spread = n * xx - x * x;
-            double slope = spread > n * n ? Math.max(0, (n * xy - x * y) / spread) : 0;
-            return Math.max(1000, (y - slope * x) / n + slope * tokens);
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/sorrelhoist/Line.java
@@ -0,0 +1,46 @@
+package sorrelhoist;
+
+/** A straight line through recent (tokens, time) pairs, the old ones fading; arithmetic only. */
+final class Line {
+    private final double decay;
+    private double n = 1;
+    private double x;
+    private double y;
+    private double xx;
+    private double xy;
+
+    /**
+     * Starts as if from a short and a long prompt that lay on a line.
+     *
+     * @param decay what a past pair weighs after each new one
+     * @param tokens tokens of the made-up prompts, in the mean and as spread
+     * @param base time at no tokens
+     * @param slope time a token
+     */
+    Line(double decay, double tokens, double base, double slope) {
+        this.decay = decay;
+        x = tokens;
+        y = base + tokens * slope;
+        xx = 2 * tokens * tokens;
+        xy = tokens * base + xx * slope;
+    }
+
+    void learn(double tokens, double time) {
+        n = n * decay + 1;
+        x = x * decay + tokens;
+        y = y * decay + time;
+        xx = xx * decay + tokens * tokens;
+        xy = xy * decay + tokens * time;
+    }
+
+    double mean() {
+        return y / n;
+    }
+
+    /** The expected time, at least a microsecond; a slope that falls, or that nothing shows, is flat. */
+    double at(double tokens) {
+        double spread = n * xx - x * x;
+        double slope = spread > n * n ? Math.max(0, (n * xy - x * y) / spread) : 0;
+        return Math.max(1, (y - slope * x) / n + slope * tokens);
+    }
+}
--- a/src/main/java/sorrelhoist/State.java
+++ b/src/main/java/sorrelhoist/State.java
@@ -26,7 +26,7 @@
         long since;
         final ArrayDeque<Sent> sends = new ArrayDeque<>();
         final ArrayDeque<Long> served = new ArrayDeque<>();
-        final Map<Long, Attempt> reads = new LinkedHashMap<>();
+        final Map<Long, Attempt> waiting = new LinkedHashMap<>();
         double load;
         double memory;
         long tokens;
--- a/src/test/java/sorrelhoist/DecideTest.java
+++ b/src/test/java/sorrelhoist/DecideTest.java
@@ -34,6 +34,14 @@
         return send(decide.on(now, ended(s, 0, Outcome.READ, 50_000, kept)));
     }
 
+    /** Ends a read and then its answer; returns where it was written. */
+    private String answer(Send s, int attempt, long took) {
+        Send w = send(decide.on(now, ended(s, attempt, Outcome.READ, took, 0)));
+        decide.on(now, new StreamStarted(w.id(), attempt + 1, w.server(), 20_000));
+        decide.on(now, ended(w, attempt + 1, Outcome.DONE, 20_000, 0));
+        return w.server();
+    }
+
     /** Reads and answers one request to its end; returns the reader. */
     private String serve(long id, String session, String prefix, long prompt, long prefixTokens, long kept) {
         Send s = arrive(id, session, prefix, prompt, prefixTokens);
@@ -88,16 +96,16 @@
             List<Action> onArrival = decide.on(now, request(i, "s" + i, null, 800, 0));
             Send s = send(onArrival);
             assertTrue(all(onArrival, Reserve.class).isEmpty());
-            Send w = read(s, 0);
+            String w = answer(s, 0, 50_000);
             boolean near = List.of("r1", "r2").contains(s.server());
-            assertTrue(List.of(near ? "w1" : "w3", near ? "w2" : "w4").contains(w.server()), s + " then " + w);
+            assertTrue(List.of(near ? "w1" : "w3", near ? "w2" : "w4").contains(w), s + " then " + w);
         }
     }
 
     @Test
     void aRestartForgetsWhatTheServerKept() {
         Send first = arrive(1, "a", null, 4000, 0);
-        read(first, 0);
+        answer(first, 0, 50_000);
         Server home = fleet().stream().filter(s -> s.id().equals(first.server())).findFirst().orElseThrow();
         decide.on(now, new Members(ListForm.UPDATE, List.of(with(home, ServerState.SERVING, now))));
         now += 13 * SECOND;
@@ -133,9 +141,9 @@
             if (s.server().equals("r1")) {
                 hits++;
                 s = send(decide.on(now, ended(s, 0, Outcome.ERROR, 1000, 0)));
-                decide.on(now, ended(s, 1, Outcome.READ, 30_000, 0));
+                answer(s, 1, 30_000);
             } else {
-                decide.on(now, ended(s, 0, Outcome.READ, 30_000, 0));
+                answer(s, 0, 30_000);
             }
         }
         assertTrue(hits >= 1 && hits <= 6, "hits " + hits);
@@ -149,7 +157,7 @@
             Send s = arrive(i, "s" + i, null, 1000, 0);
             boolean slow = s.server().equals("r1");
             slowHits += slow && i >= 30 ? 1 : 0;
-            decide.on(now, ended(s, 0, Outcome.READ, slow ? 900_000 : 40_000, 0));
+            answer(s, 0, slow ? 900_000 : 40_000);
         }
         assertTrue(slowHits <= 4, "sent " + slowHits);
         int later = 0;
@@ -157,7 +165,7 @@
             now += 50_000;
             Send s = arrive(i, "s" + i, null, 1000, 0);
             later += s.server().equals("r1") ? 1 : 0;
-            decide.on(now, ended(s, 0, Outcome.READ, 40_000, 0));
+            answer(s, 0, 40_000);
         }
         assertTrue(later > 8, "came back with " + later);
     }
@@ -198,7 +206,7 @@
         for (int i = 0; i < 40; i++) {
             Send s = arrive(i, "s" + i, null, 1000, 0);
             assertNotEquals("r1", s.server());
-            assertNotEquals("w1", read(s, 0).server());
+            assertNotEquals("w1", answer(s, 0, 50_000));
         }
     }
 
@@ -260,7 +268,7 @@
             now += 100_000;
             Send s = arrive(i, "s" + i, null, 1000, 0);
             sent += s.server().equals("r1") ? 1 : 0;
-            decide.on(now, ended(s, 0, Outcome.READ, 40_000, 0));
+            answer(s, 0, 40_000);
         }
         assertTrue(sent <= 4, "sent " + sent);
     }
@@ -292,7 +300,9 @@
             Send s = send(d.on(now, request(i, "s" + i, null, 100, 0)));
             mixed += s.server().equals("m1") ? 1 : 0;
             Outcome outcome = s.server().equals("m1") ? Outcome.DONE : Outcome.READ;
-            d.on(now, ended(s, 0, outcome, 10_000, 0));
+            for (Send w : all(d.on(now, ended(s, 0, outcome, 10_000, 0)), Send.class)) {
+                d.on(now, ended(w, 1, Outcome.DONE, 10_000, 0));
+            }
         }
         assertTrue(mixed > 25 && mixed < 75, "mixed " + mixed);
     }
@@ -328,6 +338,39 @@
         }
     }
 
+    @Test
+    void aWriterWhoseFirstTokensHangIsPassedOver() {
+        Set<String> hanging = new HashSet<>();
+        for (int i = 0; i < 4; i++) {
+            hanging.add(read(arrive(i, "s" + i, null, 1000, 0), 0).server());
+        }
+        now += 700_000;
+        for (int i = 4; i < 12 && hanging.size() < 4; i++) {
+            List<Send> sends = all(decide.on(now, request(i, "s" + i, null, 1000, 0)), Send.class);
+            for (Send s : sends) {
+                assertFalse(hanging.contains(answer(s, 0, 50_000)));
+            }
+        }
+    }
+
+    @Test
+    void aJammedReaderIsPassedOverThoughItKeepsTheText() {
+        String home = serve(1, "a", null, 1000, 0, 0);
+        now += 11 * SECOND;
+        assertEquals(home, arrive(2, "a", null, 1100, 0).server());
+        now += 900_000;
+        assertNotEquals(home, arrive(3, "a", null, 1200, 0).server());
+    }
+
+    @Test
+    void whatWouldComeLateIsRefusedAtOnce() {
+        int refused = 0;
+        for (int i = 0; i < 100; i++) {
+            refused += all(decide.on(now, request(i, "s" + i, null, 3000, 0)), Refuse.class).size();
+        }
+        assertTrue(refused > 50 && refused < 96, "refused " + refused);
+    }
+
     @Test
     void oddButLegalHistoriesDoNotThrow() {
         Send s = arrive(1, "a", null, 1000, 0);
