--- a/src/main/java/sorrelhoist/Decide.java
+++ b/src/main/java/sorrelhoist/Decide.java
@@ -779,11 +779,13 @@
      * refused at once. */
     private boolean refusedAtDoor(Request r) {
         boolean over = overShare(r.arrival.tenant());
-        boolean less = settings.classes().stream().anyMatch(c -> c.worth() > r.cls.worth());
+        double tightest = settings.classes().stream().filter(c -> c.worth() > r.cls.worth())
+                .mapToDouble(RequestClass::aimMicros).min().orElse(Double.MAX_VALUE);
+        boolean less = tightest < Double.MAX_VALUE;
         double door = over ? OVER_SHARE_DOOR : less ? DOOR_FOR_LESS : DOOR;
         double read = candidates(Role.READ, r).stream().mapToDouble(p -> completion(p, r)).min().orElse(0);
         double write = candidates(Role.WRITE, r).stream().mapToDouble(this::overdue).average().orElse(0);
-        return waiting > ALWAYS_IN && read + write + firstTokens.at(r.prompt()) > door * r.aim;
+        return waiting > ALWAYS_IN && read + write + firstTokens.at(r.prompt()) > door * Math.min(r.aim, tightest);
     }
 
     /** Each router sees its part of a tenant's requests and grants that part of the share. */
