--- a/src/main/java/sorrelhoist/Decide.java
+++ b/src/main/java/sorrelhoist/Decide.java
@@ -91,7 +91,7 @@
     /** Share of the aim that a request may be expected to need: beyond it, it is refused at once. */
     private static final double DOOR = 1;
     /** The same where a class of more worth, or a tenant within its share, needs the room. */
-    private static final double DOOR_FOR_LESS = 0.7;
+    private static final double DOOR_FOR_LESS = 0.85;
     private static final double OVER_SHARE_DOOR = 0.35;
     /** Waiting requests that are always let in, so that a router that has heard nothing starts at all. */
     private static final int ALWAYS_IN = 4;
@@ -775,8 +775,11 @@
 
     // ---- Admission and fairness ---------------------------------------------------------------------------
 
-    /** What would come late by the queue at its best reader and the writers' recent first tokens is
-     * refused at once. */
+    /**
+     * What would come late by the queue at its best reader and the writers' first tokens is refused at once.
+     * A class of less worth is held to the tightest aim of those worth more: by its own it would fill the
+     * queue. The writers' lag is that of the better third: dead ones must not close the door on the living.
+     */
     private boolean refusedAtDoor(Request r) {
         boolean over = overShare(r.arrival.tenant());
         double tightest = settings.classes().stream().filter(c -> c.worth() > r.cls.worth())
@@ -784,8 +787,9 @@
         boolean less = tightest < Double.MAX_VALUE;
         double door = over ? OVER_SHARE_DOOR : less ? DOOR_FOR_LESS : DOOR;
         double read = candidates(Role.READ, r).stream().mapToDouble(p -> completion(p, r)).min().orElse(0);
-        double write = candidates(Role.WRITE, r).stream().mapToDouble(this::overdue).average().orElse(0);
-        return waiting > ALWAYS_IN && read + write + firstTokens.at(r.prompt()) > door * Math.min(r.aim, tightest);
+        double[] lags = candidates(Role.WRITE, r).stream().mapToDouble(this::overdue).sorted().toArray();
+        double expected = read + firstTokens.at(r.prompt()) + (lags.length == 0 ? 0 : lags[lags.length / 3]);
+        return waiting > ALWAYS_IN && expected > door * Math.min(r.aim, tightest);
     }
 
     /** Each router sees its part of a tenant's requests and grants that part of the share. */
