--- a/src/main/java/sorrelhoist/Decide.java
+++ b/src/main/java/sorrelhoist/Decide.java
@@ -42,8 +42,8 @@
     private static final long KEY_AGE = 60_000_000;
     /** Keys kept at most, so that the table's memory is bounded whatever clients send. */
     private static final int MAX_KEYS = 50_000;
-    /** Share by which a past read weighs less after each new one in the learnt line: about 50 reads count. */
-    private static final double FIT_DECAY = 0.98;
+    /** What a past pair weighs in a learnt line after each new one: about 20 count. */
+    private static final double FIT_DECAY = 0.95;
     /** Tokens, microseconds, microseconds a token that a line starts from; real pairs outweigh it. */
     private static final double FIRST_TOKENS = 1000;
     private static final double FIRST_BASE = 30_000;
@@ -626,7 +626,7 @@
     private List<Peer> candidates(Role role, Request r) {
         List<Peer> all = serving(role, p -> mayRepeatAt(r, p) && coldAllows(p));
         List<Peer> fit = new ArrayList<>(all.stream().filter(p -> !p.aside).toList());
-        int floor = (int) Math.ceil(CANDIDATE_FLOOR * all.size());
+        int floor = Math.max(Math.min(1, all.size()), (int) (CANDIDATE_FLOOR * all.size()));
         if (fit.size() < floor) {
             all.stream().filter(p -> p.aside).sorted(Comparator.comparingDouble(p -> p.bad))
                     .limit(floor - fit.size()).forEach(fit::add);
