--- a/src/main/java/sorrelhoist/Decide.java
+++ b/src/main/java/sorrelhoist/Decide.java
@@ -42,8 +42,8 @@
     private static final long KEY_AGE = 60_000_000;
     /** Keys kept at most, so that the table's memory is bounded whatever clients send. */
     private static final int MAX_KEYS = 50_000;
-    /** What a past pair weighs in a learnt line after each new one: about 20 count. */
-    private static final double FIT_DECAY = 0.95;
+    /** What a past pair weighs in a learnt line after each new one: about 50 count. */
+    private static final double FIT_DECAY = 0.98;
     /** Tokens, microseconds, microseconds a token that a line starts from; real pairs outweigh it. */
     private static final double FIRST_TOKENS = 1000;
     private static final double FIRST_BASE = 30_000;
