--- a/src/main/java/sorrelhoist/Decide.java
+++ b/src/main/java/sorrelhoist/Decide.java
@@ -341,14 +341,18 @@
     /** Reads out there, the time by which the oldest is overdue (others' reads are ahead of it), and this
      * one. */
     private double completion(Peer p, Request r) {
-        double queue = p.waiting.values().stream().mapToDouble(a -> a.cost).sum();
+        double queue = p.waiting.values().stream().filter(a -> a.sentAt > p.provenAt)
+                .mapToDouble(a -> a.cost).sum();
         return queue + overdue(p) + readTime(p, missed(p, r));
     }
 
-    /** How long the oldest of the own attempts that wait at the server has taken beyond what was expected. */
+    /**
+     * How long the oldest of the own attempts that wait at the server has taken beyond what was expected. An
+     * attempt overtaken by a later one is lost on the way, not queued (servers serve in order): it tells no jam.
+     */
     private double overdue(Peer p) {
-        Attempt oldest = p.waiting.isEmpty() ? null : p.waiting.values().iterator().next();
-        return oldest == null ? 0 : Math.max(0, now - oldest.sentAt - oldest.cost);
+        return p.waiting.values().stream().filter(a -> a.sentAt > p.provenAt).findFirst()
+                .map(a -> Math.max(0, now - a.sentAt - a.cost)).orElse(0.0);
     }
 
     /** Highest hash of key and id wins: all routers agree, and a change of the list moves only its own
@@ -528,7 +532,7 @@
         firstTokens.learn(r.prompt(), e.tookMicros());
         heard(a.peer, true, e.tookMicros() / firstTokens.at(r.prompt()));
         settle(r);
-        a.peer.served.add(now);
+        a.peer.prove(a, now);
         a.peer.waiting.remove(r.id);
     }
 
@@ -670,7 +674,7 @@
                 double ratio = e.tookMicros() / line.at(missed);
                 line.learn(missed, e.tookMicros());
                 heard(a.peer, true, ratio);
-                a.peer.served.add(now);
+                a.peer.prove(a, now);
                 noteHolder(r, a.peer, true);
             }
             case DONE -> {
--- a/src/main/java/sorrelhoist/State.java
+++ b/src/main/java/sorrelhoist/State.java
@@ -40,6 +40,7 @@
         long trialWait;
         long fullUntil;
         long probedAt;
+        long provenAt = Long.MIN_VALUE;
 
         Peer(String id) {
             this.id = id;
@@ -62,6 +63,12 @@
             memory = values.getOrDefault("x0", memory);
         }
 
+        /** The attempt was answered. */
+        void prove(Attempt a, long now) {
+            served.add(now);
+            provenAt = Math.max(provenAt, a.sentAt);
+        }
+
         long servedSince(long from) {
             while (!served.isEmpty() && served.peek() < from) {
                 served.poll();
--- a/src/test/java/sorrelhoist/DecideTest.java
+++ b/src/test/java/sorrelhoist/DecideTest.java
@@ -362,6 +362,17 @@
         assertNotEquals(home, arrive(3, "a", null, 1200, 0).server());
     }
 
+    @Test
+    void aLostAnswerIsNotTakenForAJam() {
+        String home = serve(1, "a", null, 1000, 0, 0);
+        now += 11 * SECOND;
+        assertEquals(home, arrive(2, "a", null, 1100, 0).server());
+        now += 50_000;
+        answer(arrive(3, "a", null, 1150, 0), 0, 50_000);
+        now += 900_000;
+        assertEquals(home, arrive(4, "a", null, 1200, 0).server());
+    }
+
     @Test
     void whatWouldComeLateIsRefusedAtOnce() {
         int refused = 0;
