--- a/src/main/java/sorrelhoist/Decide.java
+++ b/src/main/java/sorrelhoist/Decide.java
@@ -348,7 +348,7 @@
 
     /**
      * How long the oldest of the own attempts that wait at the server has taken beyond what was expected. An
-     * attempt overtaken by a later one is lost on the way, not queued (servers serve in order): it tells no jam.
+     * attempt overtaken by a later one is lost on the way, not queued, as servers serve in order: no jam.
      */
     private double overdue(Peer p) {
         return p.waiting.values().stream().filter(a -> a.sentAt > p.provenAt).findFirst()
@@ -691,7 +691,7 @@
                     a.peer.bad = 1;
                 }
                 heard(a.peer, false, 1);
-                if (e.outcome() == Outcome.TIMED_OUT) {
+                if (e.outcome() == Outcome.TIMED_OUT && a.sentAt > a.peer.provenAt) {
                     (a.read ? readLines.get(a.peer.kind) : firstTokens).learn(a.read ? a.missed : r.prompt(),
                             e.tookMicros());
                 }
