--- a/src/main/java/sorrelhoist/Decide.java
+++ b/src/main/java/sorrelhoist/Decide.java
@@ -71,7 +71,7 @@
     /** Microseconds for which a server that answered full is passed over where another is there. */
     private static final long FULL_PAUSE = 200_000;
     /** An attempt may take this share of the remaining time, so that another fits if it hangs ... */
-    private static final double CUT_SHARE = 0.45;
+    private static final double CUT_SHARE = 0.6;
     /** ... or this multiple of its expected time if more: where work goes on after a cut, an early one
      * doubles it. */
     private static final double CUT_FACTOR = 4;
