Move the sources into a reactor of modules: decide, adapter, and room for the router

The decision library is to become a router that operators run, as two programs with stand-ins and a laboratory; one module a concern keeps the arrows one-way and the adapter's jar lean.

Jackson is one version in the whole tree; the adapter's runnable jar is attached beside its plain one, so that the application's jar does not take in a second copy.

--- a/src/main/java/sorrelhoist/Main.java
+++ b/adapter/src/main/java/sorrelhoist/wire/Main.java
@@ -1,6 +1,4 @@
-package sorrelhoist;
-
-import sorrelhoist.wire.WireHost;
+package sorrelhoist.wire;
 
 /** Command line entry: {@code wirehost} serves the wire protocol on standard input and output. */
 public final class Main {
@@ -16,7 +14,7 @@
      */
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: java -jar sorrelhoist.jar wirehost");
+            System.err.println("usage: java -jar sorrelhoist-adapter-host.jar wirehost");
             System.exit(USAGE);
         }
         System.exit(new WireHost().run(System.in, System.out, System.err));
