Add the protocol module: HTTP/2, HPACK, gRPC framing, a protobuf codec, and the messages

The router's wire is its own code over Netty's channels. HPACK (RFC 7541) with dynamic table and a nibble-driven Huffman decoder; HTTP/2 (RFC 9113) for both sides with both levels of flow control, turns by bytes, graceful GOAWAY, and one bucket of points against floods; gRPC calls for servers and clients; the Open Inference Protocol, health, engine and plan messages with their .proto files.

--- /dev/null
+++ b/protocol/src/main/java/sorrelhoist/protocol/engine/PrefillRequest.java
@@ -0,0 +1,61 @@
+package sorrelhoist.protocol.engine;
+
+import sorrelhoist.protocol.protobuf.ProtoException;
+import sorrelhoist.protocol.protobuf.ProtoReader;
+import sorrelhoist.protocol.protobuf.ProtoWriter;
+
+/**
+ * Asks a reader to read a prompt.
+ *
+ * @param requestId the router's name for it, unique over all edges and tries
+ * @param clientId the client's name for it; may be empty
+ * @param edge the edge that sends
+ * @param attempt number of the send, from 0
+ * @param prompt the text
+ * @param promptTokens tokens in the prompt
+ * @param maxTokens the most that may be answered
+ * @param requestClass index of its class
+ */
+public record PrefillRequest(String requestId, String clientId, String edge, int attempt, String prompt,
+        int promptTokens, int maxTokens, int requestClass) {
+    /** {@return the message in these bytes} */
+    public static PrefillRequest parse(byte[] bytes) throws ProtoException {
+        return read(new ProtoReader(bytes));
+    }
+
+    static PrefillRequest read(ProtoReader in) throws ProtoException {
+        String requestId = "";
+        String clientId = "";
+        String edge = "";
+        int attempt = 0;
+        String prompt = "";
+        int promptTokens = 0;
+        int maxTokens = 0;
+        int requestClass = 0;
+        for (int f = in.next(); f != 0; f = in.next()) {
+            switch (f) {
+                case 1 -> requestId = in.text();
+                case 2 -> clientId = in.text();
+                case 3 -> edge = in.text();
+                case 4 -> attempt = in.count();
+                case 5 -> prompt = in.text();
+                case 6 -> promptTokens = in.count();
+                case 7 -> maxTokens = in.count();
+                case 8 -> requestClass = in.count();
+                default -> in.skip();
+            }
+        }
+        return new PrefillRequest(requestId, clientId, edge, attempt,
+                prompt, promptTokens, maxTokens, requestClass);
+    }
+
+    ProtoWriter write() {
+        return new ProtoWriter().text(1, requestId).text(2, clientId).text(3, edge).integer(4, attempt)
+                .text(5, prompt).integer(6, promptTokens).integer(7, maxTokens).integer(8, requestClass);
+    }
+
+    /** {@return its bytes} */
+    public byte[] bytes() {
+        return write().done();
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/sorrelhoist/protocol/engine/ReleaseRequest.java
@@ -0,0 +1,43 @@
+package sorrelhoist.protocol.engine;
+
+import sorrelhoist.protocol.protobuf.ProtoException;
+import sorrelhoist.protocol.protobuf.ProtoReader;
+import sorrelhoist.protocol.protobuf.ProtoWriter;
+
+/**
+ * Lets go of a state or a place.
+ *
+ * @param requestId the router's name for it, unique over all edges and tries
+ * @param stateId the state's name at the engine that holds it
+ * @param placeId the place's name
+ */
+public record ReleaseRequest(String requestId, String stateId, String placeId) {
+    /** {@return the message in these bytes} */
+    public static ReleaseRequest parse(byte[] bytes) throws ProtoException {
+        return read(new ProtoReader(bytes));
+    }
+
+    static ReleaseRequest read(ProtoReader in) throws ProtoException {
+        String requestId = "";
+        String stateId = "";
+        String placeId = "";
+        for (int f = in.next(); f != 0; f = in.next()) {
+            switch (f) {
+                case 1 -> requestId = in.text();
+                case 2 -> stateId = in.text();
+                case 3 -> placeId = in.text();
+                default -> in.skip();
+            }
+        }
+        return new ReleaseRequest(requestId, stateId, placeId);
+    }
+
+    ProtoWriter write() {
+        return new ProtoWriter().text(1, requestId).text(2, stateId).text(3, placeId);
+    }
+
+    /** {@return its bytes} */
+    public byte[] bytes() {
+        return write().done();
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/sorrelhoist/protocol/grpc/Code.java
@@ -0,0 +1,20 @@
+package sorrelhoist.protocol.grpc;
+
+/** The status codes of gRPC, in their numbers' order. */
+public enum Code {
+    OK, CANCELLED, UNKNOWN, INVALID_ARGUMENT, DEADLINE_EXCEEDED, NOT_FOUND, ALREADY_EXISTS, PERMISSION_DENIED,
+    RESOURCE_EXHAUSTED, FAILED_PRECONDITION, ABORTED, OUT_OF_RANGE, UNIMPLEMENTED, INTERNAL, UNAVAILABLE,
+    DATA_LOSS, UNAUTHENTICATED;
+
+    private static final Code[] ALL = values();
+
+    /** {@return the code of a trailer's value; UNKNOWN for what is none} */
+    public static Code parse(String value) {
+        try {
+            int number = Integer.parseInt(value);
+            return number >= 0 && number < ALL.length ? ALL[number] : UNKNOWN;
+        } catch (NumberFormatException e) {
+            return UNKNOWN;
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/sorrelhoist/protocol/grpc/ServerCall.java
@@ -0,0 +1,170 @@
+package sorrelhoist.protocol.grpc;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.util.concurrent.EventExecutor;
+import sorrelhoist.protocol.hpack.Headers;
+import sorrelhoist.protocol.http2.ErrorCode;
+import sorrelhoist.protocol.http2.Http2Stream;
+import sorrelhoist.protocol.http2.StreamListener;
+
+/** One call at its serving side. Every method is to be called on {@link #executor}. */
+public final class ServerCall implements StreamListener {
+    /** What the method's implementation is told, on the call's executor. */
+    public interface Listener {
+        /** A message of the client's. */
+        void message(byte[] message);
+
+        /** The client sends no more. */
+        default void halfClosed() {
+        }
+
+        /** The call is over before it was closed here: the client left, or its connection broke. */
+        default void cancelled(String why) {
+        }
+
+        /** What waits for the client has fallen to a low mark. */
+        default void writable() {
+        }
+    }
+
+    private final Http2Stream stream;
+    private final Headers headers;
+    private final long timeoutMicros;
+    private final MessageReader reader;
+    private Listener listener;
+    private boolean answered;
+    private boolean closed;
+
+    ServerCall(Http2Stream stream, Headers headers, long timeoutMicros, int maxMessage) {
+        this.stream = stream;
+        this.headers = headers;
+        this.timeoutMicros = timeoutMicros;
+        this.reader = new MessageReader(maxMessage);
+    }
+
+    void listener(Listener l) {
+        listener = l;
+    }
+
+    /** {@return the path: /package.Service/Method} */
+    public String path() {
+        return headers.get(":path");
+    }
+
+    /** {@return what the client sent ahead of its messages} */
+    public Headers headers() {
+        return headers;
+    }
+
+    /** {@return the client's grpc-timeout in microseconds, or {@link Timeouts#NONE}} */
+    public long timeoutMicros() {
+        return timeoutMicros;
+    }
+
+    /** {@return the event loop of this call} */
+    public EventExecutor executor() {
+        return stream.connection().executor();
+    }
+
+    /** {@return bytes that wait for the client} */
+    public int pendingBytes() {
+        return stream.pendingBytes();
+    }
+
+    /** {@return whether nothing more can be sent} */
+    public boolean isClosed() {
+        return closed || stream.isClosed();
+    }
+
+    /** Sends a message. */
+    public void send(byte[] message) {
+        if (isClosed()) {
+            return;
+        }
+        if (!answered) {
+            answered = true;
+            stream.headers(new Headers().add(":status", "200").add("content-type", "application/grpc"), false);
+        }
+        stream.data(GrpcServer.framed(message), false);
+    }
+
+    /**
+     * Ends the call; nothing is sent after it.
+     *
+     * @param status how
+     * @param trailers further fields, or null
+     */
+    public void close(Status status, Headers trailers) {
+        if (isClosed()) {
+            return;
+        }
+        closed = true;
+        Headers last = new Headers();
+        if (!answered) {
+            last.add(":status", "200").add("content-type", "application/grpc");
+        }
+        last.add("grpc-status", Integer.toString(status.code().ordinal()));
+        if (!status.message().isEmpty()) {
+            last.add("grpc-message", status.encodedMessage());
+        }
+        if (trailers != null) {
+            last.addAll(trailers);
+        }
+        stream.headers(last, true);
+    }
+
+    /** Ends the call without a word, as only a broken program would. */
+    public void abort() {
+        closed = true;
+        stream.reset(ErrorCode.INTERNAL_ERROR);
+    }
+
+    @Override
+    public void headers(Headers trailers, boolean end) {
+        ended();
+    }
+
+    @Override
+    public void data(ByteBuf data, boolean end) {
+        stream.consumed(data.readableBytes());
+        if (closed) {
+            return;
+        }
+        Status bad = reader.read(data, (message, size) -> {
+            if (!closed) {
+                listener.message(message);
+            }
+        });
+        if (bad == null && end && reader.isPartial()) {
+            bad = new Status(Code.INVALID_ARGUMENT, "the last message is cut short");
+        }
+        if (bad != null) {
+            Listener told = listener;
+            close(bad, null);
+            told.cancelled(bad.message());
+        } else if (end) {
+            ended();
+        }
+    }
+
+    private void ended() {
+        if (!closed) {
+            listener.halfClosed();
+        }
+    }
+
+    @Override
+    public void reset(ErrorCode code, boolean unprocessed, String why) {
+        if (!closed) {
+            closed = true;
+            listener.cancelled(why);
+        }
+    }
+
+    @Override
+    public void writable() {
+        if (!closed) {
+            listener.writable();
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/sorrelhoist/protocol/hpack/HpackDecoder.java
@@ -0,0 +1,133 @@
+package sorrelhoist.protocol.hpack;
+
+import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
+
+/** Decodes header blocks (RFC 7541); one instance for one direction of one connection, one thread at a time. */
+public final class HpackDecoder {
+    /** The table's limit before any setting is exchanged, in octets. */
+    public static final int DEFAULT_TABLE = 4096;
+    private final DynamicTable table;
+    private final int maxListOctets;
+    private int allowedTable;
+    private boolean mustResize;
+
+    /**
+     * Makes a decoder with an empty table.
+     *
+     * @param tableOctets the SETTINGS_HEADER_TABLE_SIZE that this side sent
+     * @param maxListOctets the most that one block may decode to, as section 4.1 counts
+     */
+    public HpackDecoder(int tableOctets, int maxListOctets) {
+        this.table = new DynamicTable(Math.min(DEFAULT_TABLE, tableOctets));
+        this.maxListOctets = maxListOctets;
+        this.allowedTable = tableOctets;
+        this.mustResize = tableOctets < DEFAULT_TABLE;
+    }
+
+    /**
+     * Decodes one whole block.
+     *
+     * @param block read to its end
+     * @return its fields
+     * @throws HpackException where the block is malformed, or decodes to more than the limit
+     */
+    public Headers decode(ByteBuf block) throws HpackException {
+        Headers headers = new Headers();
+        int octets = 0;
+        while (block.isReadable()) {
+            int first = block.readUnsignedByte();
+            HeaderField field;
+            if ((first & 0x80) != 0) {
+                field = at(integer(block, first, 7));
+            } else if ((first & 0xC0) == 0x40) {
+                field = literal(block, integer(block, first, 6));
+                table.add(field);
+            } else if ((first & 0xE0) == 0x20) {
+                resize(integer(block, first, 5), headers.size() > 0);
+                continue;
+            } else {
+                field = literal(block, integer(block, first, 4));
+            }
+            if (mustResize) {
+                throw new HpackException("the block should begin with a table size update (section 4.2)");
+            }
+            octets += field.size();
+            if (octets > maxListOctets) {
+                throw new HpackException("header list of more than " + maxListOctets + " octets", true);
+            }
+            headers.add(field);
+        }
+        return headers;
+    }
+
+    /** {@return octets now held in the dynamic table} */
+    public int tableOctets() {
+        return table.size();
+    }
+
+    private void resize(int octets, boolean late) throws HpackException {
+        if (late) {
+            throw new HpackException("a table size update after a field");
+        }
+        if (octets > allowedTable) {
+            throw new HpackException("table size " + octets + " is above the limit " + allowedTable);
+        }
+        mustResize = false;
+        table.limit(octets);
+    }
+
+    private HeaderField at(int index) throws HpackException {
+        if (index >= 1 && index <= StaticTable.SIZE) {
+            return StaticTable.at(index);
+        }
+        int dynamic = index - StaticTable.SIZE - 1;
+        if (dynamic < 0 || dynamic >= table.count()) {
+            throw new HpackException("no table entry has index " + index);
+        }
+        return table.at(dynamic);
+    }
+
+    private HeaderField literal(ByteBuf in, int nameIndex) throws HpackException {
+        String name = nameIndex > 0 ? at(nameIndex).name() : string(in);
+        return new HeaderField(name, string(in));
+    }
+
+    private String string(ByteBuf in) throws HpackException {
+        if (!in.isReadable()) {
+            throw new HpackException("a string is missing");
+        }
+        int first = in.readUnsignedByte();
+        int length = integer(in, first, 7);
+        if (length > in.readableBytes()) {
+            throw new HpackException("a string of " + length + " octets is cut short");
+        }
+        if (length > maxListOctets) {
+            throw new HpackException("a string of more than " + maxListOctets + " octets", true);
+        }
+        if ((first & 0x80) != 0) {
+            return Huffman.decode(in, length);
+        }
+        return in.readCharSequence(length, StandardCharsets.ISO_8859_1).toString();
+    }
+
+    /** Section 5.1; what exceeds 28 bits is refused, as no table or string here is that large. */
+    private static int integer(ByteBuf in, int first, int prefixBits) throws HpackException {
+        int most = (1 << prefixBits) - 1;
+        int value = first & most;
+        if (value < most) {
+            return value;
+        }
+        for (int shift = 0; shift <= 21; shift += 7) {
+            if (!in.isReadable()) {
+                throw new HpackException("an integer is cut short");
+            }
+            int octet = in.readUnsignedByte();
+            value += (octet & 0x7F) << shift;
+            if ((octet & 0x80) == 0) {
+                return value;
+            }
+        }
+        throw new HpackException("an integer of more than 28 bits");
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/sorrelhoist/protocol/hpack/Huffman.java
@@ -0,0 +1,165 @@
+package sorrelhoist.protocol.hpack;
+
+import io.netty.buffer.ByteBuf;
+import java.util.Arrays;
+
+/**
+ * The Huffman code of RFC 7541, Appendix B. It is canonical (codes of one length ascend with their symbols), so
+ * the lengths alone define it.
+ */
+final class Huffman {
+    private static final int SYMBOLS = 257;
+    private static final int EOS = 256;
+    private static final int NIBBLE = 16;
+    private static final int MAX_BITS = 30;
+    private static final byte[] LENGTHS = {
+        13, 23, 28, 28, 28, 28, 28, 28, 28, 24, 30, 28, 28, 30, 28, 28,
+        28, 28, 28, 28, 28, 28, 30, 28, 28, 28, 28, 28, 28, 28, 28, 28,
+        6, 10, 10, 12, 13, 6, 8, 11, 10, 10, 8, 11, 8, 6, 6, 6,
+        5, 5, 5, 6, 6, 6, 6, 6, 6, 6, 7, 8, 15, 6, 12, 10,
+        13, 6, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7,
+        7, 7, 7, 7, 7, 7, 7, 7, 8, 7, 8, 13, 19, 13, 14, 6,
+        15, 5, 6, 5, 6, 5, 6, 6, 6, 5, 7, 7, 6, 6, 6, 5,
+        6, 7, 6, 5, 5, 6, 7, 7, 7, 7, 7, 15, 11, 14, 13, 28,
+        20, 22, 20, 20, 22, 22, 22, 23, 22, 23, 23, 23, 23, 23, 24, 23,
+        24, 24, 22, 23, 24, 23, 23, 23, 23, 21, 22, 23, 22, 23, 23, 24,
+        22, 21, 20, 22, 22, 23, 23, 21, 23, 22, 22, 24, 21, 22, 23, 23,
+        21, 21, 22, 21, 23, 22, 23, 23, 20, 22, 22, 22, 23, 22, 22, 23,
+        26, 26, 20, 19, 22, 23, 22, 25, 26, 26, 26, 27, 27, 26, 24, 25,
+        19, 21, 26, 27, 27, 26, 27, 24, 21, 21, 26, 26, 28, 27, 27, 27,
+        20, 24, 20, 21, 22, 21, 21, 23, 22, 22, 25, 25, 24, 24, 26, 23,
+        26, 27, 26, 26, 27, 27, 27, 27, 27, 28, 27, 27, 27, 27, 27, 26,
+        30};
+    private static final int[] CODES = codes();
+    /** Per node and next four bits: the node after them. -1 where EOS or no code lies on the way. */
+    private static final short[] NEXT = new short[SYMBOLS * NIBBLE];
+    /** Per node and next four bits: the symbol that ends within them, or -1; codes have five bits or more. */
+    private static final short[] SYMBOL = new short[SYMBOLS * NIBBLE];
+    /** Per node: whether the bits since the last symbol are all ones and fewer than eight, so may be padding. */
+    private static final boolean[] MAY_END = new boolean[SYMBOLS];
+
+    static {
+        int[][] tree = tree();
+        for (int node = 0; node < tree.length; node++) {
+            for (int bits = 0; bits < NIBBLE; bits++) {
+                step(tree, node, bits);
+            }
+        }
+        int node = 0;
+        for (int ones = 0; ones < 8 && node >= 0; ones++) {
+            MAY_END[node] = true;
+            node = tree[node][1];
+        }
+    }
+
+    private Huffman() {
+    }
+
+    private static int[] codes() {
+        int[] codes = new int[SYMBOLS];
+        int code = 0;
+        for (int bits = 1; bits <= MAX_BITS; bits++) {
+            code <<= 1;
+            for (int symbol = 0; symbol < SYMBOLS; symbol++) {
+                if (LENGTHS[symbol] == bits) {
+                    codes[symbol] = code++;
+                }
+            }
+        }
+        return codes;
+    }
+
+    /** Inner nodes with two children each: a node's number, or -2 less the symbol. */
+    private static int[][] tree() {
+        int[][] tree = new int[SYMBOLS - 1][2];
+        for (int[] node : tree) {
+            Arrays.fill(node, -1);
+        }
+        int nodes = 1;
+        for (int symbol = 0; symbol < SYMBOLS; symbol++) {
+            int node = 0;
+            for (int bit = LENGTHS[symbol] - 1; bit > 0; bit--) {
+                int way = CODES[symbol] >> bit & 1;
+                if (tree[node][way] == -1) {
+                    tree[node][way] = nodes++;
+                }
+                node = tree[node][way];
+            }
+            tree[node][CODES[symbol] & 1] = -2 - symbol;
+        }
+        return tree;
+    }
+
+    private static void step(int[][] tree, int from, int bits) {
+        int at = from * NIBBLE + bits;
+        int node = from;
+        SYMBOL[at] = -1;
+        for (int bit = 3; bit >= 0; bit--) {
+            int next = tree[node][bits >> bit & 1];
+            if (next == -2 - EOS) {
+                NEXT[at] = -1;
+                return;
+            }
+            if (next < -1) {
+                SYMBOL[at] = (short) (-2 - next);
+                next = 0;
+            }
+            node = next;
+        }
+        NEXT[at] = (short) node;
+    }
+
+    /** {@return how many bytes the text takes in this code} */
+    static int length(String text) {
+        long bits = 0;
+        for (int i = 0; i < text.length(); i++) {
+            bits += LENGTHS[text.charAt(i) & 0xFF];
+        }
+        return (int) (bits + 7 >> 3);
+    }
+
+    static void encode(String text, ByteBuf out) {
+        long held = 0;
+        int bits = 0;
+        for (int i = 0; i < text.length(); i++) {
+            int symbol = text.charAt(i) & 0xFF;
+            held = held << LENGTHS[symbol] | CODES[symbol];
+            bits += LENGTHS[symbol];
+            while (bits >= 8) {
+                bits -= 8;
+                out.writeByte((int) (held >> bits));
+            }
+        }
+        if (bits > 0) {
+            out.writeByte((int) (held << 8 - bits | 0xFF >> bits));
+        }
+    }
+
+    /**
+     * Decodes {@code length} bytes.
+     *
+     * @throws HpackException where EOS stands in the text, or the padding is longer than seven bits or not all ones
+     */
+    static String decode(ByteBuf in, int length) throws HpackException {
+        byte[] text = new byte[length * 8 / 5 + 1];
+        int size = 0;
+        int node = 0;
+        for (int i = 0; i < length; i++) {
+            int octet = in.readUnsignedByte();
+            for (int shift = 4; shift >= 0; shift -= 4) {
+                int at = node * NIBBLE + (octet >> shift & 0xF);
+                node = NEXT[at];
+                if (node < 0) {
+                    throw new HpackException("EOS in a Huffman-coded string");
+                }
+                if (SYMBOL[at] >= 0) {
+                    text[size++] = (byte) SYMBOL[at];
+                }
+            }
+        }
+        if (!MAY_END[node]) {
+            throw new HpackException("a Huffman-coded string ends in an incomplete code");
+        }
+        return new String(text, 0, size, java.nio.charset.StandardCharsets.ISO_8859_1);
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/sorrelhoist/protocol/http2/StreamListener.java
@@ -0,0 +1,36 @@
+package sorrelhoist.protocol.http2;
+
+import io.netty.buffer.ByteBuf;
+import sorrelhoist.protocol.hpack.Headers;
+
+/** What a stream's user is told, on the connection's event loop and in the order of the wire. */
+public interface StreamListener {
+    /**
+     * A header list came: the response's, or trailers.
+     *
+     * @param headers the fields
+     * @param end whether the peer's side of the stream ends with it
+     */
+    void headers(Headers headers, boolean end);
+
+    /**
+     * Data came. The user gives credit for it with {@link Http2Stream#consumed}, at once or later.
+     *
+     * @param data valid during the call only
+     * @param end whether the peer's side of the stream ends with it
+     */
+    void data(ByteBuf data, boolean end);
+
+    /**
+     * The stream ended before both sides had finished; nothing follows. Not called for what this side reset.
+     *
+     * @param code the peer's code, or why the connection ended
+     * @param unprocessed whether the peer says that it never looked at this stream (RFC 9113 section 8.7)
+     * @param why for logs
+     */
+    void reset(ErrorCode code, boolean unprocessed, String why);
+
+    /** What waited to be sent has fallen to the stream's low mark. */
+    default void writable() {
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/sorrelhoist/protocol/net/Net.java
@@ -0,0 +1,106 @@
+package sorrelhoist.protocol.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+
+/** Netty's sockets, on the loopback address alone. */
+public final class Net {
+    /** The one address that anything here listens on or connects to. */
+    public static final String LOOPBACK = "127.0.0.1";
+
+    private Net() {
+    }
+
+    /** {@return event loops of daemon threads} */
+    public static EventLoopGroup loops(int threads, String name) {
+        return new MultiThreadIoEventLoopGroup(threads, new DefaultThreadFactory(name, true),
+                NioIoHandler.newFactory());
+    }
+
+    /**
+     * Listens on the loopback address.
+     *
+     * @param loops for the listener and its connections
+     * @param port the port; 0 for one that the system picks
+     * @param handler makes the handler of each connection
+     * @return the listener
+     * @throws IOException where the port cannot be had
+     */
+    public static Channel listen(EventLoopGroup loops, int port, Supplier<ChannelHandler> handler)
+            throws IOException {
+        ChannelFuture bound = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(handler.get());
+                    }
+                }).bind(LOOPBACK, port).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + LOOPBACK + ":" + port + ": " + bound.cause().getMessage(),
+                    bound.cause());
+        }
+        return bound.channel();
+    }
+
+    /** {@return the port of a listener} */
+    public static int port(Channel listener) {
+        return ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    /**
+     * Connects to a loopback port.
+     *
+     * @param loop the connection's event loop
+     * @param address host:port; the host has to be the loopback address
+     * @param timeoutMicros until the attempt fails
+     * @param handler the connection's handler
+     * @return the attempt
+     */
+    public static ChannelFuture connect(EventLoop loop, String address, long timeoutMicros, ChannelHandler handler) {
+        return new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, timeoutMicros / 1000))
+                .handler(handler).connect(parse(address));
+    }
+
+    /**
+     * Reads an address.
+     *
+     * @param address 127.0.0.1:PORT
+     * @return the same
+     * @throws IllegalArgumentException where it is none, or leads elsewhere
+     */
+    public static InetSocketAddress parse(String address) {
+        int colon = address == null ? -1 : address.lastIndexOf(':');
+        String host = colon < 0 ? "" : address.substring(0, colon);
+        if (!host.equals(LOOPBACK) && !host.equals("localhost")) {
+            throw new IllegalArgumentException("address \"" + address + "\": give " + LOOPBACK + ":PORT");
+        }
+        try {
+            int port = Integer.parseInt(address.substring(colon + 1));
+            if (port > 0 && port < 1 << 16) {
+                return new InetSocketAddress(LOOPBACK, port);
+            }
+        } catch (NumberFormatException e) {
+            // Said below, as for a port out of range.
+        }
+        throw new IllegalArgumentException("address \"" + address + "\": the port has to be from 1 to 65535");
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/sorrelhoist/protocol/plan/Hello.java
@@ -0,0 +1,43 @@
+package sorrelhoist.protocol.plan;
+
+import sorrelhoist.protocol.protobuf.ProtoException;
+import sorrelhoist.protocol.protobuf.ProtoReader;
+import sorrelhoist.protocol.protobuf.ProtoWriter;
+
+/**
+ * An edge's first word.
+ *
+ * @param edge its name
+ * @param zone where it stands
+ * @param incarnation grows with every start
+ */
+public record Hello(String edge, String zone, long incarnation) {
+    /** {@return the message in these bytes} */
+    public static Hello parse(byte[] bytes) throws ProtoException {
+        return read(new ProtoReader(bytes));
+    }
+
+    static Hello read(ProtoReader in) throws ProtoException {
+        String edge = "";
+        String zone = "";
+        long incarnation = 0;
+        for (int f = in.next(); f != 0; f = in.next()) {
+            switch (f) {
+                case 1 -> edge = in.text();
+                case 2 -> zone = in.text();
+                case 3 -> incarnation = in.integer();
+                default -> in.skip();
+            }
+        }
+        return new Hello(edge, zone, incarnation);
+    }
+
+    ProtoWriter write() {
+        return new ProtoWriter().text(1, edge).text(2, zone).integer(3, incarnation);
+    }
+
+    /** {@return its bytes} */
+    public byte[] bytes() {
+        return write().done();
+    }
+}
--- /dev/null
+++ b/protocol/src/test/java/sorrelhoist/protocol/http2/Pair.java
@@ -0,0 +1,101 @@
+package sorrelhoist.protocol.http2;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.List;
+import sorrelhoist.protocol.hpack.Headers;
+
+/** Two connections that hand each other their bytes in memory, in pieces of a chosen size. */
+final class Pair {
+    static final Headers REQUEST = new Headers().add(":method", "POST").add(":scheme", "http").add(":path", "/a")
+            .add(":authority", "x");
+    final List<String> events = new ArrayList<>();
+    final List<Http2Stream> opened = new ArrayList<>();
+    /** Stream and bytes of each piece of data that the client got. */
+    final List<int[]> order = new ArrayList<>();
+    boolean autoCredit = true;
+    final Http2Connection server;
+    final Http2Connection client;
+    final EmbeddedChannel serverChannel;
+    final EmbeddedChannel clientChannel;
+    private final int piece;
+
+    Pair(Http2Limits serverLimits, Http2Limits clientLimits, int piece) {
+        this.piece = piece;
+        server = Http2Connection.server(serverLimits, (stream, headers, end) -> {
+            opened.add(stream);
+            events.add("server opened " + stream.id() + " " + headers + " " + end);
+            return new Log("server", stream);
+        }, new Http2Connection.Watcher() { });
+        client = Http2Connection.client(clientLimits, new Http2Connection.Watcher() { });
+        serverChannel = new EmbeddedChannel(server);
+        clientChannel = new EmbeddedChannel(client);
+        pump();
+    }
+
+    Pair() {
+        this(Http2Limits.SERVER, Http2Limits.CLIENT, 0);
+    }
+
+    Http2Stream open(boolean end) {
+        Log log = new Log("client", null);
+        Http2Stream s = client.open(REQUEST, end, log);
+        log.stream = s;
+        return s;
+    }
+
+    void pump() {
+        boolean moved = true;
+        while (moved) {
+            moved = move(clientChannel, serverChannel) | move(serverChannel, clientChannel);
+        }
+    }
+
+    private boolean move(EmbeddedChannel from, EmbeddedChannel to) {
+        from.runPendingTasks();
+        boolean moved = false;
+        for (ByteBuf out = from.readOutbound(); out != null; out = from.readOutbound()) {
+            moved = true;
+            while (out.isReadable() && to.isOpen()) {
+                int size = piece == 0 ? out.readableBytes() : Math.min(piece, out.readableBytes());
+                to.writeInbound(Unpooled.copiedBuffer(out.readSlice(size)));
+            }
+            out.release();
+        }
+        to.runPendingTasks();
+        return moved;
+    }
+
+    final class Log implements StreamListener {
+        private final String side;
+        private Http2Stream stream;
+
+        Log(String side, Http2Stream stream) {
+            this.side = side;
+            this.stream = stream;
+        }
+
+        @Override
+        public void headers(Headers headers, boolean end) {
+            events.add(side + " headers " + headers + " " + end);
+        }
+
+        @Override
+        public void data(ByteBuf data, boolean end) {
+            if (autoCredit) {
+                stream.consumed(data.readableBytes());
+            }
+            if (side.equals("client")) {
+                order.add(new int[] {stream.id(), data.readableBytes()});
+            }
+            events.add(side + " data " + data.readableBytes() + " " + end);
+        }
+
+        @Override
+        public void reset(ErrorCode code, boolean unprocessed, String why) {
+            events.add(side + " reset " + code + " " + unprocessed);
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/test/java/sorrelhoist/protocol/protobuf/ProtoTest.java
@@ -0,0 +1,87 @@
+package sorrelhoist.protocol.protobuf;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import sorrelhoist.protocol.engine.DecodeEvent;
+import sorrelhoist.protocol.engine.DecodeRequest;
+import sorrelhoist.protocol.engine.Token;
+import sorrelhoist.protocol.inference.InferRequest;
+import sorrelhoist.protocol.inference.Parameter;
+import sorrelhoist.protocol.inference.Tensor;
+import sorrelhoist.protocol.plan.EdgeMessage;
+import sorrelhoist.protocol.plan.Line;
+import sorrelhoist.protocol.plan.PlanEvent;
+import sorrelhoist.protocol.plan.Roster;
+
+/** Messages come back as they went; what is no message is refused and nothing worse. */
+class ProtoTest {
+    private static final InferRequest REQUEST = new InferRequest("m", "", "id-1",
+            Map.of("max_tokens", new Parameter(20L), "zero", new Parameter(0L), "on", new Parameter(false),
+                    "s", new Parameter("é")),
+            List.of(Tensor.text(InferRequest.TEXT_INPUT, "ask €")), List.of());
+
+    @Test
+    void aRequestComesBackWithDefaultsOfItsOneofs() throws ProtoException {
+        assertEquals(REQUEST, InferRequest.parse(REQUEST.bytes()));
+    }
+
+    @Test
+    void rawContentsAreCutByTheirLengths() throws ProtoException {
+        Tensor t = new Tensor("text_input", "BYTES", List.of(2L), List.of());
+        List<byte[]> two = t.elements(new byte[] {1, 0, 0, 0, 65, 2, 0, 0, 0, 66, 67});
+        assertEquals("BC", new String(two.get(1), java.nio.charset.StandardCharsets.US_ASCII));
+        assertThrows(ProtoException.class, () -> t.elements(new byte[] {1, 0, 0}));
+        assertThrows(ProtoException.class, () -> t.elements(new byte[] {9, 0, 0, 0, 1}));
+        assertThrows(ProtoException.class, () -> t.elements(new byte[] {-1, -1, -1, -1, 1}));
+    }
+
+    @Property(tries = 200)
+    void engineAndPlanMessagesComeBack(@ForAll String text, @ForAll int a, @ForAll long b, @ForAll double d)
+            throws ProtoException {
+        int n = a & Integer.MAX_VALUE;
+        String s = new String(text.getBytes(java.nio.charset.StandardCharsets.UTF_8),
+                java.nio.charset.StandardCharsets.UTF_8);
+        DecodeRequest r = new DecodeRequest(s, s, "e", n, s, s, s, n, n, n, s, n);
+        assertEquals(r, DecodeRequest.parse(r.bytes()));
+        DecodeEvent e = new DecodeEvent(new Token(n, s), null);
+        assertEquals(e, DecodeEvent.parse(e.bytes()));
+        PlanEvent p = PlanEvent.of(new Roster(1, List.of(new Line(s, s, s, s, 2, d, b, b, s)), b, b));
+        assertEquals(p, PlanEvent.parse(p.bytes()));
+        EdgeMessage t = new EdgeMessage.Tell(a, s);
+        assertEquals(t, EdgeMessage.parse(t.bytes()));
+    }
+
+    @Property(tries = 500)
+    void anyBytesAreAMessageOrRefused(@ForAll byte[] bytes) {
+        try {
+            InferRequest.parse(bytes);
+            PlanEvent.parse(bytes);
+        } catch (ProtoException refused) {
+            assertEquals(false, refused.getMessage().isEmpty());
+        }
+    }
+
+    @Test
+    void cutAndHostileMessagesAreRefused() {
+        byte[] whole = REQUEST.bytes();
+        for (int cut = 1; cut < whole.length; cut++) {
+            byte[] part = java.util.Arrays.copyOf(whole, cut);
+            try {
+                InferRequest.parse(part);
+            } catch (ProtoException expected) {
+                continue;
+            }
+        }
+        assertThrows(ProtoException.class, () -> InferRequest.parse(new byte[] {10, 127, 1}));
+        assertThrows(ProtoException.class, () -> InferRequest.parse(new byte[] {10, 1, -1}));
+        assertThrows(ProtoException.class, () -> InferRequest.parse(new byte[] {0}));
+        assertThrows(ProtoException.class, () -> InferRequest.parse(
+                new byte[] {8, -1, -1, -1, -1, -1, -1, -1, -1, -1, -1, 1}));
+    }
+}
