Let the number of routers change in service: the event Seated

A planner numbers the edges that live; Decide took that number at its start alone, and an edge that joins or leaves would have left all parts of cold servers, retries and tenants wrong. The event replaces the two settings and nothing else.

--- a/decide/src/main/java/sorrelhoist/Decide.java
+++ b/decide/src/main/java/sorrelhoist/Decide.java
@@ -74,7 +74,7 @@
     private static final long TICK_TOKEN = 1L << 60;
     private static final long ASK_TOKEN = TICK_TOKEN + 1;
 
-    private final Settings settings;
+    private Settings settings;
     private final SplittableRandom random;
     private final TreeMap<String, Peer> peers = new TreeMap<>();
     private final Map<Long, Request> requests = new LinkedHashMap<>();
@@ -143,6 +143,8 @@
             clientGone(e.id());
         } else if (event instanceof PeerMessage e) {
             told(e.body());
+        } else if (event instanceof Seated e) {
+            settings = SettingsCheck.reseated(settings, e);
         }
         return out;
     }
--- a/decide/src/main/java/sorrelhoist/Routing.java
+++ b/decide/src/main/java/sorrelhoist/Routing.java
@@ -238,6 +238,15 @@
     public record PeerMessage(int from, String body) implements Event {
     }
 
+    /**
+     * The number of routers, or this one's number, changed.
+     *
+     * @param routers routers that share the servers, this one included
+     * @param self this router's number, from 0
+     */
+    public record Seated(int routers, int self) implements Event {
+    }
+
     /**
      * The client left; nothing is owed any more.
      *
--- a/decide/src/main/java/sorrelhoist/SettingsCheck.java
+++ b/decide/src/main/java/sorrelhoist/SettingsCheck.java
@@ -41,6 +41,12 @@
         }
     }
 
+    /** The same settings with another number of routers: parts of the fleet are granted by it from now on. */
+    static Settings reseated(Settings s, Seated e) {
+        return checked(new Settings(e.routers(), e.self(), s.zone(), s.asksDiscovery(), s.overShareWorth(),
+                s.reports(), s.classes(), s.tenants(), s.kinds(), s.limits(), s.rules()));
+    }
+
     static long monotonic(long before, long time) {
         if (time < before) {
             throw new IllegalArgumentException("the clock went back from " + before + " to " + time
--- a/decide/src/test/java/sorrelhoist/DecideTest.java
+++ b/decide/src/test/java/sorrelhoist/DecideTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
+import static assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static sorrelhoist.Fixtures.*;
 
@@ -415,4 +415,14 @@
                 assertThrows(IllegalArgumentException.class, () -> new Decide(noKinds, 1)).getMessage());
         assertThrows(IllegalArgumentException.class, () -> new Decide(null, 1));
     }
+
+    @Test
+    void aChangedNumberOfRoutersChangesTheParts() {
+        Decide decide = new Decide(Fixtures.plain(), 1);
+        decide.on(0, new Members(ListForm.COMPLETE, Fixtures.fleet()));
+        assertTrue(decide.on(1, new Seated(150, 149)).isEmpty());
+        assertThrows(IllegalArgumentException.class,
+                () -> decide.on(2, new Seated(0, 0)));
+        assertEquals(1, Fixtures.all(decide.on(3, Fixtures.request(1, "s", "p", 500, 100)), Send.class).size());
+    }
 }
