--- /dev/null
+++ b/core/src/main/java/sorrelhoist/core/life/Answer.java
@@ -0,0 +1,29 @@
+package sorrelhoist.core.life;
+
+/** A client's one final answer. */
+public sealed interface Answer {
+    /**
+     * All tokens were given.
+     *
+     * @param tokens how many
+     */
+    record Served(int tokens) implements Answer {
+    }
+
+    /**
+     * Not served, and a repeat is harmless.
+     *
+     * @param backoffMicros when to come back; 0 for no advice
+     */
+    record Refused(long backoffMicros) implements Answer {
+    }
+
+    /**
+     * Not served whole, and nothing is known of a repeat.
+     *
+     * @param why for the client and the log
+     * @param late whether the client's time is up
+     */
+    record Failed(String why, boolean late) implements Answer {
+    }
+}
--- /dev/null
+++ b/core/src/main/java/sorrelhoist/core/life/Call.java
@@ -0,0 +1,19 @@
+package sorrelhoist.core.life;
+
+/**
+ * What a client asks for.
+ *
+ * @param clientId its own name for it; may be empty
+ * @param cls index of its class
+ * @param tenant index of its tenant
+ * @param session the conversation, or null
+ * @param prefix the beginning shared with other sessions, or null
+ * @param prefixTokens tokens of that beginning
+ * @param prompt the text
+ * @param promptTokens tokens of the text
+ * @param maxTokens the most that may be answered, 1 or more
+ * @param timeoutMicros until the client gives up on the whole answer; 0 where it did not say
+ */
+public record Call(String clientId, int cls, int tenant, String session, String prefix, long prefixTokens,
+        String prompt, long promptTokens, int maxTokens, long timeoutMicros) {
+}
--- /dev/null
+++ b/core/src/main/java/sorrelhoist/core/life/Life.java
@@ -0,0 +1,66 @@
+package sorrelhoist.core.life;
+
+/** One request's life: its phase, its attempts, what is held for it, and what its client has got. */
+final class Life {
+    /** One send, until its one outcome. */
+    static final class Attempt {
+        final AttemptId id;
+        final String engine;
+        final int kind;
+        final boolean read;
+        final long sentAt;
+        final long cutAt;
+        boolean ended;
+        boolean started;
+        long heardAt;
+
+        Attempt(AttemptId id, String engine, int kind, boolean read, long sentAt, long cutAt) {
+            this.id = id;
+            this.engine = engine;
+            this.kind = kind;
+            this.read = read;
+            this.sentAt = sentAt;
+            this.cutAt = cutAt;
+        }
+    }
+
+    final long client;
+    final Call call;
+    final long arrivedAt;
+    /** Until the whole answer has to be given; Long.MAX_VALUE where the client did not say. */
+    final long endsBy;
+    final StringBuilder answered = new StringBuilder();
+    long decideId;
+    String name;
+    Phase phase = Phase.WAITING;
+    boolean finished;
+    int sends;
+    int resumptions;
+    int tokens;
+    Attempt out;
+    Held state;
+    String placeEngine;
+    String place = "";
+
+    Life(long client, Call call, long arrivedAt, long endsBy) {
+        this.client = client;
+        this.call = call;
+        this.arrivedAt = arrivedAt;
+        this.endsBy = endsBy;
+    }
+
+    /** Takes a step; where the client has its answer already, what still comes in changes nothing. */
+    void step(Phase.Step step) {
+        if (phase != Phase.ENDED) {
+            phase = phase.after(step);
+        }
+    }
+
+    String prompt() {
+        return answered.length() == 0 ? call.prompt() : call.prompt() + answered;
+    }
+
+    long promptTokens() {
+        return call.promptTokens() + tokens;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/sorrelhoist/core/life/Order.java
@@ -0,0 +1,125 @@
+package sorrelhoist.core.life;
+
+/** What the carrier is to do, in the order in which it is told. */
+public sealed interface Order {
+    /**
+     * Have a reader read the prompt. Answered by one outcome of this attempt.
+     *
+     * @param attempt names the attempt
+     * @param name the request's name at engines
+     * @param engine where to
+     * @param call what is asked
+     * @param prompt the text, with what was answered so far where a stream goes on
+     * @param promptTokens its tokens
+     */
+    record Read(AttemptId attempt, String name, String engine, Call call, String prompt, long promptTokens)
+            implements Order {
+    }
+
+    /**
+     * Have a writer fetch the state and answer. Answered by tokens and one outcome of this attempt.
+     *
+     * @param attempt names the attempt
+     * @param name the request's name at engines
+     * @param engine where to
+     * @param call what is asked
+     * @param state what to fetch, or null where the engine reads the prompt by itself
+     * @param place held ahead there, or empty
+     * @param prompt the text
+     * @param promptTokens its tokens
+     * @param fromToken the first index that the client has not got
+     */
+    record Write(AttemptId attempt, String name, String engine, Call call, Held state, String place, String prompt,
+            long promptTokens, int fromToken) implements Order {
+    }
+
+    /**
+     * Stop waiting for an attempt; nothing of it is reported any more.
+     *
+     * @param attempt which
+     */
+    record Drop(AttemptId attempt) implements Order {
+    }
+
+    /**
+     * Hold a place ahead at a writer. Answered by {@link Router#placeAnswered}.
+     *
+     * @param request which request
+     * @param name its name at engines
+     * @param engine the writer
+     * @param call what is asked
+     */
+    record Reserve(long request, String name, String engine, Call call) implements Order {
+    }
+
+    /**
+     * Let an engine drop what it holds for a request.
+     *
+     * @param name the request's name at engines
+     * @param engine which
+     * @param state the state's name; empty for what its reads left that were given up on
+     * @param place the place's name; may be empty
+     * @param upTo where neither is named: the last attempt whose state is meant, so that a later read at the same
+     *     engine keeps its own
+     */
+    record Release(String name, String engine, String state, String place, int upTo) implements Order {
+    }
+
+    /**
+     * Give the client a token.
+     *
+     * @param client which
+     * @param index from 0, without gaps
+     * @param text the token
+     * @param ticket as given to {@link Router#token}
+     */
+    record Deliver(long client, int index, String text, Object ticket) implements Order {
+    }
+
+    /**
+     * Give the client its one final answer; nothing follows it.
+     *
+     * @param client which
+     * @param answer how it ended
+     */
+    record Finish(long client, Answer answer) implements Order {
+    }
+
+    /**
+     * Probe an engine. Answered by {@link Router#probeAnswered}.
+     *
+     * @param engine which
+     */
+    record Probe(String engine) implements Order {
+    }
+
+    /**
+     * Send a message to other routers.
+     *
+     * @param to a router's number; -1 for all
+     * @param body at most 256 bytes
+     */
+    record Tell(int to, String body) implements Order {
+    }
+
+    /** Ask for the whole roster. */
+    record FetchRoster() implements Order {
+    }
+
+    /**
+     * Close idle connections to an engine.
+     *
+     * @param engine which
+     */
+    record CloseIdle(String engine) implements Order {
+    }
+
+    /**
+     * A line for the log.
+     *
+     * @param request the request's name, or null
+     * @param text the line
+     */
+    record Log(String request, String text) implements Order {
+    }
+}
--- /dev/null
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -0,0 +1,596 @@
+package sorrelhoist.core.life;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import sorrelhoist.Decide;
+import sorrelhoist.Routing.*;
+import sorrelhoist.core.time.Alarms;
+
+/**
+ * The whole of one router but its sockets: requests' lives around {@link Decide}. It is told what happens, asks
+ * {@code Decide}, and gives orders to a carrier. One thread at a time; time is the caller's, in microseconds.
+ *
+ * <p>What it owes, whatever the carrier reports and in whatever order: each client one final answer and nothing
+ * after it; each {@code Send} of {@code Decide} exactly one {@code AttemptEnded}; each held state or place a
+ * {@code Release} when {@code Decide} says so. {@code Decide} chooses, refuses, repeats and cuts. Here is decided
+ * only what begins where it stops, at the first token: how long a stream may be silent ({@link Liveness}), that it
+ * ends with its client's time, and whether a broken one goes on elsewhere.
+ */
+public final class Router {
+    private static final long REFUSED_AT_THE_TOP = 500_000; // hint where the router itself is full
+    private static final int NAMES = 36;
+
+    /** What an alarm is for. */
+    private sealed interface Alarm {
+    }
+
+    private record DecideTimer(long token) implements Alarm {
+    }
+
+    private record Cut(Life life, Life.Attempt attempt) implements Alarm {
+    }
+
+    private record Silence(Life life, Life.Attempt attempt) implements Alarm {
+    }
+
+    private record Expiry(Life life) implements Alarm {
+    }
+
+    private final RouterSettings settings;
+    private final Decide decide;
+    private final Consumer<Order> carrier;
+    private final Liveness liveness;
+    private final Map<Long, Life> byClient = new HashMap<>();
+    private final Map<Long, Life> byDecide = new HashMap<>();
+    private final Map<String, Integer> kinds = new HashMap<>();
+    private final Alarms<Alarm> alarms = new Alarms<>();
+    private final ArrayDeque<Event> events = new ArrayDeque<>();
+    private final List<Life> leaving = new ArrayList<>();
+    private long now = Long.MIN_VALUE;
+    private long ids;
+    private boolean draining;
+
+    /**
+     * Makes a router that knows no engine yet.
+     *
+     * @param settings what it is told at its start
+     * @param carrier takes orders, during the calls below
+     */
+    public Router(RouterSettings settings, Consumer<Order> carrier) {
+        this.settings = settings;
+        this.carrier = carrier;
+        this.decide = new Decide(settings.decide(), settings.seed());
+        this.liveness = new Liveness(settings.decide().kinds().size());
+    }
+
+    // ---- What the carrier tells ---------------------------------------------------------------------------
+
+    /** A client asks. {@return its number here} */
+    public long arrived(long time, Call call) {
+        at(time);
+        long client = ++ids;
+        long timeout = call.timeoutMicros() > 0 ? Math.max(0, call.timeoutMicros() - settings.marginMicros())
+                : Long.MAX_VALUE;
+        Life life = new Life(client, call, now, timeout == Long.MAX_VALUE ? timeout : now + timeout);
+        byClient.put(client, life);
+        if (draining || byClient.size() > settings.maxOpen()) {
+            life.step(Phase.Step.REFUSE);
+            finish(life, new Answer.Refused(REFUSED_AT_THE_TOP));
+            return client;
+        }
+        submit(life);
+        drain();
+        if (life.endsBy < Long.MAX_VALUE) {
+            alarms.set(life.endsBy, new Expiry(life));
+        }
+        return client;
+    }
+
+    /** A client left; nothing is owed to it. Unknown ones were answered a moment ago. */
+    public void clientGone(long time, long client) {
+        at(time);
+        Life life = byClient.remove(client);
+        if (life == null) {
+            return;
+        }
+        life.finished = true;
+        leaving.add(life);
+        Life.Attempt running = life.phase == Phase.STREAMING ? life.out : null;
+        life.step(Phase.Step.CLIENT_GONE);
+        events.add(new ClientGone(life.decideId));
+        if (running != null) {
+            // A stream that nobody reads ends; Decide leaves that to whoever carries it.
+            drop(life, running, Outcome.CANCELLED);
+        }
+        drain();
+    }
+
+    /** A read ended well. */
+    public void readDone(long time, AttemptId id, String state, long kept, Load load) {
+        at(time);
+        Life life = byDecide.get(id.request());
+        Life.Attempt a = out(life, id);
+        if (a == null || !a.read) {
+            return;
+        }
+        life.state = new Held(a.engine, state);
+        life.step(Phase.Step.READ_DONE);
+        ended(life, a, Outcome.READ, life.finished, kept, load);
+        drain();
+    }
+
+    /**
+     * An attempt ended without success.
+     *
+     * @param time now
+     * @param id which
+     * @param outcome how; neither DONE nor READ
+     * @param note 1 with FULL where no state was there to fetch
+     * @param load the engine's report, or {@link Load#NONE}
+     */
+    public void attemptLost(long time, AttemptId id, Outcome outcome, long note, Load load) {
+        at(time);
+        Life life = byDecide.get(id.request());
+        Life.Attempt a = out(life, id);
+        if (a != null) {
+            lost(life, a, outcome, note, load);
+            drain();
+        }
+    }
+
+    /**
+     * A token came.
+     *
+     * @param time now
+     * @param id of which attempt
+     * @param index from 0
+     * @param text the token
+     * @param ticket handed on with the token; dropped with a token that is not wanted
+     */
+    public void token(long time, AttemptId id, int index, String text, Object ticket) {
+        at(time);
+        Life life = byDecide.get(id.request());
+        Life.Attempt a = out(life, id);
+        if (a == null || a.read) {
+            return;
+        }
+        if (index != life.tokens || index >= life.call.maxTokens()) {
+            log(life, "token " + index + " where " + life.tokens + " was due");
+            drop(life, a, Outcome.ERROR);
+        } else {
+            if (!a.started) {
+                begin(life, a);
+            } else {
+                liveness.gap(a.kind, now - a.heardAt);
+                life.step(Phase.Step.TOKEN);
+            }
+            a.heardAt = now;
+            life.tokens++;
+            life.answered.append(text);
+            if (life.finished) {
+                drop(life, a, Outcome.CANCELLED);
+            } else {
+                carrier.accept(new Order.Deliver(life.client, index, text, ticket));
+            }
+        }
+        drain();
+    }
+
+    /** A writer says that its answer is whole. */
+    public void streamDone(long time, AttemptId id, int tokens, long kept, Load load) {
+        at(time);
+        Life life = byDecide.get(id.request());
+        Life.Attempt a = out(life, id);
+        if (a == null || a.read) {
+            return;
+        }
+        if (tokens != life.tokens) {
+            log(life, "an answer of " + tokens + " tokens ended after " + life.tokens);
+            lost(life, a, Outcome.ERROR, 0, load);
+        } else {
+            life.step(Phase.Step.LAST_TOKEN);
+            life.state = null;
+            ended(life, a, Outcome.DONE, true, kept, load);
+            finish(life, new Answer.Served(life.tokens));
+        }
+        drain();
+    }
+
+    /** A place was held, or not. */
+    public void placeAnswered(long time, long request, String engine, boolean held, String place) {
+        at(time);
+        Life life = byDecide.get(request);
+        if (life == null || life.finished || life.out == null || !life.out.read) {
+            // Too late to be used: it must not stay pinned.
+            if (held) {
+                carrier.accept(new Order.Release("", engine, "", place, 0));
+            }
+            return;
+        }
+        if (held) {
+            life.placeEngine = engine;
+            life.place = place;
+        }
+        events.add(new PlaceAnswered(request, engine, held));
+        drain();
+    }
+
+    /** A probe ended. */
+    public void probeAnswered(long time, String engine, Outcome outcome, long took, Load load) {
+        tell(time, new ProbeAnswered(engine, outcome, took, load));
+    }
+
+    /** Another router's message came. */
+    public void peerMessage(long time, int from, String body) {
+        tell(time, new PeerMessage(from, body));
+    }
+
+    /** The number of routers, or this one's, changed. */
+    public void seated(long time, int routers, int self) {
+        tell(time, new Seated(routers, self));
+    }
+
+    /** The roster, or news of it. */
+    public void members(long time, ListForm form, List<Server> servers) {
+        servers.forEach(s -> kinds.put(s.id(), s.kind()));
+        tell(time, new Members(form, servers));
+    }
+
+    /** Takes no new requests from now on: they are refused with a hint. */
+    public void drainNow() {
+        draining = true;
+    }
+
+    /** Ends what is still open: each client is told, nothing is left held. */
+    public void endAll(long time, String why) {
+        at(time);
+        draining = true;
+        for (Life life : List.copyOf(byClient.values())) {
+            Life.Attempt running = life.out;
+            boolean streams = life.phase == Phase.STREAMING;
+            life.step(Phase.Step.FAIL);
+            finish(life, new Answer.Failed(why, false));
+            events.add(new ClientGone(life.decideId));
+            if (streams && running != null) {
+                drop(life, running, Outcome.CANCELLED);
+            }
+            drain();
+        }
+    }
+
+    /** Lets time pass. */
+    public void advance(long time) {
+        at(time);
+        for (Alarm due = alarms.due(now); due != null; due = alarms.due(now)) {
+            ring(due);
+            drain();
+        }
+    }
+
+    /** {@return when {@link #advance} is next needed; Long.MAX_VALUE for never} */
+    public long nextAlarm() {
+        return alarms.next();
+    }
+
+    /** {@return requests whose clients have no final answer yet} */
+    public int open() {
+        return byClient.size();
+    }
+
+    /** {@return requests that Decide still knows, with or without a client} */
+    public int known() {
+        return byDecide.size();
+    }
+
+    /** {@return attempts that are out} */
+    public int attemptsOut() {
+        return (int) byDecide.values().stream().filter(l -> l.out != null).count();
+    }
+
+    /** {@return states and places that are held for requests} */
+    public int held() {
+        return (int) byDecide.values().stream().filter(l -> l.state != null || l.placeEngine != null).count();
+    }
+
+    // ---- Time ---------------------------------------------------------------------------------------------
+
+    private void at(long time) {
+        now = Math.max(now, time);
+    }
+
+    private void tell(long time, Event event) {
+        at(time);
+        events.add(event);
+        drain();
+    }
+
+    private void ring(Alarm alarm) {
+        if (alarm instanceof DecideTimer t) {
+            events.add(new TimerFired(t.token()));
+        } else if (alarm instanceof Cut c) {
+            if (!c.attempt().ended && !c.attempt().started) {
+                drop(c.life(), c.attempt(), Outcome.TIMED_OUT);
+                drain();
+            }
+        } else if (alarm instanceof Silence s) {
+            silent(s);
+        } else if (alarm instanceof Expiry e) {
+            expired(e.life());
+        }
+    }
+
+    private void silent(Silence s) {
+        if (s.attempt().ended) {
+            return;
+        }
+        long due = s.attempt().heardAt + liveness.patience(s.attempt().kind);
+        if (now < due) {
+            lookAt(due, s);
+            return;
+        }
+        log(s.life(), "stream silent for " + (now - s.attempt().heardAt) + " us at " + s.attempt().engine);
+        drop(s.life(), s.attempt(), Outcome.TIMED_OUT);
+        drain();
+    }
+
+    /** Patience shrinks as streams are seen, so looks come at least as often as the shortest patience. */
+    private void lookAt(long due, Silence s) {
+        alarms.set(Math.min(due, now + Liveness.FLOOR), s);
+    }
+
+    /** Until the first token Decide holds the deadline; from then on the client's own limit ends the stream. */
+    private void expired(Life life) {
+        if (life.finished || life.phase != Phase.STREAMING) {
+            return;
+        }
+        Life.Attempt running = life.out;
+        life.step(Phase.Step.EXPIRE);
+        finish(life, new Answer.Failed("the answer did not end within the client's time", true));
+        drop(life, running, Outcome.TIMED_OUT);
+        drain();
+    }
+
+    // ---- Lives --------------------------------------------------------------------------------------------
+
+    /** Hands the request, or what is left of a broken one, to Decide under a number of its own. */
+    private void submit(Life life) {
+        Call c = life.call;
+        life.decideId = ++ids;
+        life.name = settings.name() + "." + Long.toString(settings.incarnation(), NAMES) + "."
+                + Long.toString(life.decideId, NAMES);
+        life.sends = 0;
+        byDecide.put(life.decideId, life);
+        long patience = settings.deadlines().get(c.cls())
+                + settings.deadlinesPer1000().get(c.cls()) * life.promptTokens() / 1000;
+        long budget = Math.max(0, Math.min(patience, life.endsBy - now));
+        events.add(new Arrived(life.decideId, c.cls(), c.tenant(), c.session(), c.prefix(), life.promptTokens(),
+                c.prefixTokens(), c.maxTokens() - life.tokens, budget));
+    }
+
+    private static Life.Attempt out(Life life, AttemptId id) {
+        return life != null && life.out != null && life.out.id.equals(id) ? life.out : null;
+    }
+
+    private void begin(Life life, Life.Attempt a) {
+        a.started = true;
+        life.step(Phase.Step.FIRST_TOKEN);
+        life.state = null;
+        life.placeEngine = null;
+        life.place = "";
+        events.add(new StreamStarted(life.decideId, a.id.number(), a.engine, now - a.sentAt));
+        lookAt(now + liveness.patience(a.kind), new Silence(life, a));
+    }
+
+    /** Stops waiting for an attempt; its outcome is known here and now. */
+    private void drop(Life life, Life.Attempt a, Outcome outcome) {
+        carrier.accept(new Order.Drop(a.id));
+        lost(life, a, outcome, 0, Load.NONE);
+    }
+
+    private void lost(Life life, Life.Attempt a, Outcome outcome, long note, Load load) {
+        if (a.started) {
+            broke(life, a, outcome, load);
+            return;
+        }
+        if (a.read) {
+            life.step(Phase.Step.READ_LOST);
+            boolean neverRan = outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED;
+            if (!neverRan) {
+                // The read may end there unheard of: what it leaves must not stay pinned.
+                carrier.accept(new Order.Release(life.name, a.engine, "", "", a.id.number()));
+            }
+        } else if (outcome == Outcome.FULL && note == 1 || life.state == null) {
+            life.state = null;
+            life.step(Phase.Step.STATE_LOST);
+        } else {
+            life.step(Phase.Step.WRITE_LOST);
+        }
+        ended(life, a, outcome, life.finished, note, load);
+    }
+
+    /**
+     * A stream ended before its answer did. Where the deployment resumes streams and the class may be repeated,
+     * it goes on from its last token as a request of its own, as a returning client's would; the client's stream
+     * stays open meanwhile. Otherwise the client is told at once.
+     */
+    private void broke(Life life, Life.Attempt a, Outcome outcome, Load load) {
+        ended(life, a, outcome, true, 0, load);
+        if (life.finished) {
+            return;
+        }
+        byDecide.remove(life.decideId);
+        boolean safe = settings.decide().classes().get(life.call.cls()).repeat() == Repeat.SAFE;
+        boolean again = settings.resumes() && safe && now < life.endsBy && !draining
+                && life.resumptions < settings.decide().limits().maxAttempts();
+        if (life.tokens >= life.call.maxTokens()) {
+            life.step(Phase.Step.LAST_TOKEN);
+            finish(life, new Answer.Served(life.tokens));
+        } else if (again) {
+            life.resumptions++;
+            life.step(Phase.Step.BREAK);
+            submit(life);
+        } else {
+            life.step(Phase.Step.FAIL);
+            finish(life, new Answer.Failed("the answer broke off: " + outcome, false));
+        }
+    }
+
+    private void ended(Life life, Life.Attempt a, Outcome outcome, boolean over, long note, Load load) {
+        a.ended = true;
+        life.out = null;
+        events.add(new AttemptEnded(a.id.request(), a.id.number(), a.engine, outcome, now - a.sentAt, over, note,
+                load));
+    }
+
+    private void finish(Life life, Answer answer) {
+        if (!life.finished) {
+            life.finished = true;
+            leaving.add(life);
+            byClient.remove(life.client);
+            carrier.accept(new Order.Finish(life.client, answer));
+        }
+    }
+
+    /** Drops what is known of finished requests of which nothing is out. Until then Release has to find them. */
+    private void sweep() {
+        leaving.removeIf(life -> {
+            if (life.out == null) {
+                byDecide.remove(life.decideId);
+            }
+            return life.out == null;
+        });
+    }
+
+    // ---- What Decide says ---------------------------------------------------------------------------------
+
+    /** Tells Decide all that has happened and carries out its answers, in order, until nothing is left. */
+    private void drain() {
+        for (Event event = events.poll(); event != null; event = events.poll()) {
+            for (Action action : decide.on(now, event)) {
+                perform(action);
+            }
+        }
+        sweep();
+    }
+
+    private void perform(Action action) {
+        if (action instanceof Send a) {
+            send(a);
+        } else if (action instanceof Refuse a) {
+            answer(a.id(), Phase.Step.REFUSE, new Answer.Refused(a.backoffMicros()));
+        } else if (action instanceof Fail a) {
+            Life life = byDecide.get(a.id());
+            boolean late = life != null && life.endsBy <= now;
+            answer(a.id(), Phase.Step.FAIL, new Answer.Failed(late ? "no answer within the client's time"
+                    : "no engine could answer, and a repeat may have an effect twice", late));
+        } else if (action instanceof Cancel a) {
+            cancel(a);
+        } else if (action instanceof Release a) {
+            release(byDecide.get(a.id()));
+        } else if (action instanceof Reserve a) {
+            Life life = byDecide.get(a.id());
+            if (life != null && !life.finished) {
+                carrier.accept(new Order.Reserve(a.id(), life.name, a.server(), life.call));
+            }
+        } else if (action instanceof Move a) {
+            move(byDecide.get(a.id()));
+        } else if (action instanceof Timer a) {
+            alarms.set(now + a.delayMicros(), new DecideTimer(a.token()));
+        } else if (action instanceof Probe a) {
+            carrier.accept(new Order.Probe(a.server()));
+        } else if (action instanceof Tell a) {
+            carrier.accept(new Order.Tell(a.to(), a.body()));
+        } else if (action instanceof Follow || action instanceof FetchList) {
+            carrier.accept(new Order.FetchRoster());
+        } else if (action instanceof CloseIdle a) {
+            carrier.accept(new Order.CloseIdle(a.server()));
+        } else if (action instanceof Log a) {
+            carrier.accept(new Order.Log(null, a.text()));
+        }
+    }
+
+    private void send(Send s) {
+        Life life = byDecide.get(s.id());
+        int number = life == null ? 0 : life.sends++;
+        Integer kind = kinds.get(s.server());
+        long cut = life == null ? 0 : s.cutAt() == 0 ? life.endsBy : Math.min(s.cutAt(), life.endsBy);
+        if (life == null || life.finished || life.out != null || kind == null || cut <= now) {
+            Outcome moot = life != null && !life.finished && cut <= now ? Outcome.TIMED_OUT : Outcome.SKIPPED;
+            events.add(new AttemptEnded(s.id(), number, s.server(), moot, 0, life == null || life.finished, 0,
+                    Load.NONE));
+            return;
+        }
+        boolean read = settings.decide().kinds().get(kind).role() == Role.READ;
+        AttemptId id = new AttemptId(s.id(), number);
+        Life.Attempt a = new Life.Attempt(id, s.server(), kind, read, now, cut);
+        life.out = a;
+        life.step(read ? Phase.Step.SEND_READ : Phase.Step.SEND_WRITE);
+        if (cut < Long.MAX_VALUE) {
+            alarms.set(cut, new Cut(life, a));
+        }
+        if (read) {
+            carrier.accept(new Order.Read(id, life.name, s.server(), life.call, life.prompt(),
+                    life.promptTokens()));
+        } else {
+            boolean placed = s.server().equals(life.placeEngine);
+            if (!placed) {
+                releasePlace(life);
+            }
+            carrier.accept(new Order.Write(id, life.name, s.server(), life.call, life.state,
+                    placed ? life.place : "", life.prompt(), life.promptTokens(), life.tokens));
+        }
+    }
+
+    private void answer(long id, Phase.Step step, Answer answer) {
+        Life life = byDecide.get(id);
+        // Decide's timer of the deadline may still ring for a stream that has begun; like a Cancel then, it concerns
+        // something that was concluded by the first token, and is passed over.
+        if (life != null && !life.finished && life.phase != Phase.STREAMING) {
+            // A stream that went on elsewhere has begun: what the client has can't be refused any more.
+            boolean begun = life.tokens > 0 && answer instanceof Answer.Refused;
+            life.step(begun ? Phase.Step.FAIL : step);
+            finish(life, begun ? new Answer.Failed("the answer broke off and could not go on", false) : answer);
+        }
+    }
+
+    private void cancel(Cancel c) {
+        Life life = byDecide.get(c.id());
+        Life.Attempt a = out(life, new AttemptId(c.id(), c.attempt()));
+        if (a != null && !a.started) {
+            drop(life, a, Outcome.CANCELLED);
+        }
+    }
+
+    private void release(Life life) {
+        if (life == null || life.out != null) {
+            return;
+        }
+        if (life.state != null) {
+            carrier.accept(new Order.Release(life.name, life.state.engine(), life.state.state(), "", 0));
+            life.state = null;
+        }
+        releasePlace(life);
+    }
+
+    private void releasePlace(Life life) {
+        if (life.placeEngine != null) {
+            carrier.accept(new Order.Release(life.name, life.placeEngine, "", life.place, 0));
+            life.placeEngine = null;
+            life.place = "";
+        }
+    }
+
+    private void move(Life life) {
+        if (life != null && !life.finished && life.phase == Phase.STREAMING && settings.resumes()) {
+            drop(life, life.out, Outcome.CANCELLED);
+        }
+    }
+
+    private void log(Life life, String text) {
+        carrier.accept(new Order.Log(life.name, text));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/sorrelhoist/core/life/RouterSettings.java
@@ -0,0 +1,21 @@
+package sorrelhoist.core.life;
+
+import java.util.List;
+import sorrelhoist.Routing.Settings;
+
+/**
+ * What a router is told at its start beyond {@link Settings}.
+ *
+ * @param name this edge's name; part of every request's name
+ * @param incarnation grows with every start, so that names are never used again
+ * @param decide the decision module's settings
+ * @param deadlines for each class: until the first token, where the client did not say, in microseconds
+ * @param deadlinesPer1000 for each class: added for each 1,000 prompt tokens, in microseconds
+ * @param marginMicros by how much answers come before a client's time is up: the way back to it
+ * @param resumes whether a broken stream goes on elsewhere, where its class is safe to repeat
+ * @param maxOpen requests that may be open at once; more are refused at once
+ * @param seed of all randomness
+ */
+public record RouterSettings(String name, long incarnation, Settings decide, List<Long> deadlines,
+        List<Long> deadlinesPer1000, long marginMicros, boolean resumes, int maxOpen, long seed) {
+}
--- /dev/null
+++ b/core/src/main/java/sorrelhoist/core/members/RosterBook.java
@@ -0,0 +1,140 @@
+package sorrelhoist.core.members;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import sorrelhoist.Routing.ServerState;
+
+/**
+ * A planner's roster: what the registry lists, read as engines that serve, drain or are gone, with when each was
+ * learned and an epoch that grows with every change.
+ *
+ * <p>UP serves. OUT_OF_SERVICE and DOWN drain: such a process may still finish what it writes. STARTING and UNKNOWN
+ * are not offered before they were UP, and drain afterwards. What is no longer listed is gone.
+ */
+public final class RosterBook {
+    /** Metadata keys that an engine registers itself with. */
+    public static final String ZONE = "zone";
+    /** Its rack: engines with a fast link among them. */
+    public static final String RACK = "rack";
+    /** Its kind. */
+    public static final String KIND = "kind";
+    /** Its size. */
+    public static final String SIZE = "size";
+    /** When its process started, milliseconds since 1970. */
+    public static final String STARTED = "started-ms";
+
+    /**
+     * A line of the roster.
+     *
+     * @param entry the engine; its age as of {@code learnedAt}
+     * @param learnedAt when this state was learned, this planner's clock
+     */
+    public record Line(EngineTable.Entry entry, long learnedAt) {
+    }
+
+    private final Map<String, Line> lines = new LinkedHashMap<>();
+    private final List<String> complaints = new ArrayList<>();
+    private long epoch;
+
+    /** Makes an empty book. */
+    public RosterBook() {
+    }
+
+    /**
+     * Takes the registry's list.
+     *
+     * @param now this planner's clock, microseconds since 1970
+     * @param listed all instances
+     * @return lines that changed
+     */
+    public List<Line> take(long now, List<RegistryView.Instance> listed) {
+        complaints.clear();
+        List<Line> changed = new ArrayList<>();
+        Set<String> seen = new HashSet<>();
+        for (RegistryView.Instance i : listed) {
+            Line before = lines.get(i.id());
+            EngineTable.Entry entry = read(now, i, before);
+            if (entry != null) {
+                seen.add(i.id());
+                note(now, before, entry, changed);
+            }
+        }
+        for (Line before : new ArrayList<>(lines.values())) {
+            EngineTable.Entry e = before.entry();
+            if (!seen.contains(e.id()) && e.state() != ServerState.GONE) {
+                note(now, before, with(e, ServerState.GONE), changed);
+            }
+        }
+        epoch += changed.isEmpty() ? 0 : 1;
+        return changed;
+    }
+
+    private void note(long now, Line before, EngineTable.Entry entry, List<Line> changed) {
+        boolean same = before != null && with(entry, before.entry().state(), before.entry().upForMicros())
+                .equals(before.entry()) && before.entry().state() == entry.state();
+        if (!same) {
+            Line line = new Line(entry, now);
+            lines.put(entry.id(), line);
+            changed.add(line);
+        }
+    }
+
+    private EngineTable.Entry read(long now, RegistryView.Instance i, Line before) {
+        Map<String, String> m = i.metadata();
+        try {
+            long started = Long.parseLong(m.getOrDefault(STARTED, "0"));
+            double size = Double.parseDouble(m.getOrDefault(SIZE, "1"));
+            if (!m.containsKey(ZONE) || !m.containsKey(KIND) || !(size > 0)) {
+                throw new IllegalArgumentException("needs zone, kind and a size above 0");
+            }
+            ServerState state = state(i.status(), before);
+            return state == null ? null : new EngineTable.Entry(i.id(), m.get(ZONE), m.getOrDefault(RACK, ""),
+                    m.get(KIND), state, size, started, Math.max(0, now - started * 1000), i.address());
+        } catch (IllegalArgumentException e) {
+            complaints.add("instance " + i.id() + ": metadata cannot be used: " + e.getMessage());
+            return null;
+        }
+    }
+
+    private static ServerState state(String status, Line before) {
+        return switch (status) {
+            case "UP" -> ServerState.SERVING;
+            case "DOWN", "OUT_OF_SERVICE" -> ServerState.DRAINING;
+            default -> before == null ? null : ServerState.DRAINING;
+        };
+    }
+
+    private static EngineTable.Entry with(EngineTable.Entry e, ServerState state) {
+        return with(e, state, e.upForMicros());
+    }
+
+    private static EngineTable.Entry with(EngineTable.Entry e, ServerState state, long upFor) {
+        return new EngineTable.Entry(e.id(), e.zone(), e.rack(), e.kind(), state, e.size(), e.incarnation(), upFor,
+                e.address());
+    }
+
+    /** {@return all lines, those gone too} */
+    public List<Line> lines() {
+        return new ArrayList<>(lines.values());
+    }
+
+    /** {@return the address of an engine that is not gone, or null} */
+    public String address(String id) {
+        Line line = lines.get(id);
+        return line == null || line.entry().state() == ServerState.GONE ? null : line.entry().address();
+    }
+
+    /** {@return a number that grows with every change} */
+    public long epoch() {
+        return epoch;
+    }
+
+    /** {@return what was wrong with the list taken last} */
+    public List<String> complaints() {
+        return List.copyOf(complaints);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/life/Fleet.java
@@ -0,0 +1,48 @@
+package sorrelhoist.core.life;
+
+import java.util.ArrayList;
+import java.util.List;
+import sorrelhoist.Routing.*;
+
+/** Small settings and engines for tests: two readers and three writers, one class of each kind of repeat. */
+final class Fleet {
+    static final long SECOND = 1_000_000;
+    static final int SAFE = 0;
+    static final int KEYED = 1;
+    static final int UNSAFE = 2;
+    static final long MARGIN = 20_000;
+    static final long RELEASE = 500_000;
+
+    private Fleet() {
+    }
+
+    static Settings decide(boolean cancel) {
+        return new Settings(1, 0, 0, false, 0.1, Reports.IN_OUTCOMES,
+                List.of(new RequestClass(SECOND, 40_000, 1, Repeat.SAFE, Scope.ALL, 0),
+                        new RequestClass(SECOND, 40_000, 1, Repeat.KEYED, Scope.CELL, 2 * SECOND),
+                        new RequestClass(SECOND, 40_000, 1, Repeat.UNSAFE, Scope.ALL, 0)),
+                List.of(), List.of(new Kind(Role.READ, 200_000), new Kind(Role.WRITE, 150_000)),
+                new Limits(5, cancel, false, true, 2 * SECOND, false, false, 0.003, 0.003),
+                new Rules(0.26, 12 * SECOND, 3, 3 * SECOND, RELEASE));
+    }
+
+    static RouterSettings settings(boolean cancel, boolean resumes, long seed) {
+        return new RouterSettings("edge", 1, decide(cancel), List.of(4 * SECOND, 4 * SECOND, 4 * SECOND),
+                List.of(0L, 0L, 0L), MARGIN, resumes, 10_000, seed);
+    }
+
+    static List<Server> servers() {
+        List<Server> all = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            all.add(new Server("r" + i, 0, 0, i, ServerState.SERVING, 1, 0));
+        }
+        for (int i = 0; i < 3; i++) {
+            all.add(new Server("w" + i, 0, 1, i % 2, ServerState.SERVING, 1, 0));
+        }
+        return all;
+    }
+
+    static Call call(int cls, int maxTokens, long timeout) {
+        return new Call("c", cls, 0, "s", "p", 50, "x".repeat(400), 100, maxTokens, timeout);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/life/Histories.java
@@ -0,0 +1,313 @@
+package sorrelhoist.core.life;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.UnaryOperator;
+import sorrelhoist.Routing.*;
+import sorrelhoist.core.time.Alarms;
+
+/**
+ * Random histories of a router in virtual time: clients that come and leave, engines that answer, fail, hang, stall
+ * and send nonsense, a roster that changes. What the router orders is checked against the rules as it is ordered.
+ */
+final class Histories {
+    private static final class Client {
+        long sentAt;
+        long firstTokenBy;
+        long endsBy = Long.MAX_VALUE;
+        int cls;
+        int tokens;
+        boolean ended;
+        boolean gone;
+    }
+
+    private record HeldState(String name, long since) {
+    }
+
+    final List<String> broken = new ArrayList<>();
+    private final SplittableRandom random;
+    private final Router router;
+    private final Alarms<Runnable> world = new Alarms<>();
+    private final Map<Long, Client> clients = new HashMap<>();
+    private final Map<String, HeldState> held = new HashMap<>();
+    private final Map<String, Integer> outBy = new HashMap<>();
+    private final Map<AttemptId, String> names = new HashMap<>();
+    private final Map<String, Long> drainedAt = new HashMap<>();
+    private final Set<AttemptId> over = new HashSet<>();
+    private final Map<AttemptId, String> stateOf = new HashMap<>();
+    private final UnaryOperator<Order> sabotage;
+    private final double trouble;
+    private long now;
+    private int states;
+    int served;
+    int refused;
+    int failed;
+    int resumed;
+
+    Histories(long seed, UnaryOperator<Order> sabotage) {
+        this.random = new SplittableRandom(seed);
+        this.sabotage = sabotage;
+        this.trouble = random.nextDouble() * 0.5;
+        this.router = new Router(Fleet.settings(random.nextInt(5) > 0, random.nextInt(3) > 0, seed), this::take);
+        router.members(0, ListForm.COMPLETE, Fleet.servers());
+    }
+
+    /** Plays one history to its end. */
+    void play() {
+        int count = 1 + random.nextInt(12);
+        for (int i = 0; i < count; i++) {
+            world.set(random.nextLong(2 * Fleet.SECOND), this::arrive);
+        }
+        if (random.nextInt(4) == 0) {
+            world.set(random.nextLong(2 * Fleet.SECOND), this::drainOne);
+        }
+        for (long steps = 0; world.size() > 0 || router.open() > 0; steps++) {
+            now = Math.max(now, Math.min(world.next(), router.nextAlarm()));
+            router.advance(now);
+            for (Runnable due = world.due(now); due != null; due = world.due(now)) {
+                due.run();
+            }
+            check();
+            if (steps > 100_000) {
+                broken.add("no end");
+                return;
+            }
+        }
+        // What was let go or cut needs its last alarms; ticks go on for ever.
+        for (long until = now + 6 * Fleet.SECOND; router.nextAlarm() <= until; ) {
+            now = Math.max(now, router.nextAlarm());
+            router.advance(now);
+            for (Runnable due = world.due(now); due != null; due = world.due(now)) {
+                due.run();
+            }
+            check();
+        }
+        if (router.known() + router.attemptsOut() + router.held() > 0) {
+            broken.add("left: " + router.known() + " known, " + router.attemptsOut() + " out, " + router.held()
+                    + " held");
+        }
+        clients.values().stream().filter(c -> !c.ended && !c.gone).forEach(c -> broken.add("rule 1: no answer"));
+    }
+
+    private void arrive() {
+        Client c = new Client();
+        c.cls = random.nextInt(3);
+        c.sentAt = now;
+        long timeout = random.nextInt(3) == 0 ? 50_000 + random.nextLong(5 * Fleet.SECOND) : 0;
+        int most = 1 + random.nextInt(30);
+        c.firstTokenBy = now + (timeout > 0 ? Math.min(timeout, 4 * Fleet.SECOND) : 4 * Fleet.SECOND);
+        c.endsBy = timeout > 0 ? now + timeout : Long.MAX_VALUE;
+        pending = c;
+        long client = router.arrived(now, Fleet.call(c.cls, most, timeout));
+        clients.put(client, c);
+        pending = null;
+        if (random.nextInt(4) == 0) {
+            world.set(now + random.nextLong(Fleet.SECOND), () -> {
+                if (!c.ended) {
+                    c.gone = true;
+                    router.clientGone(now, client);
+                }
+            });
+        }
+    }
+
+    private Client pending;
+
+    private Client client(long id) {
+        return clients.getOrDefault(id, pending);
+    }
+
+    private void drainOne() {
+        List<Server> all = Fleet.servers();
+        Server s = all.get(random.nextInt(all.size()));
+        drainedAt.put(s.id(), now);
+        router.members(now, ListForm.UPDATE, List.of(new Server(s.id(), s.zone(), s.kind(), s.cell(),
+                random.nextBoolean() ? ServerState.DRAINING : ServerState.GONE, 1, 0)));
+    }
+
+    // ---- Engines ------------------------------------------------------------------------------------------
+
+    private void take(Order given) {
+        Order order = sabotage.apply(given);
+        if (order instanceof Order.Read o) {
+            sent(o.attempt(), o.name(), o.engine());
+            read(o);
+        } else if (order instanceof Order.Write o) {
+            sent(o.attempt(), o.name(), o.engine());
+            write(o);
+        } else if (order instanceof Order.Drop o) {
+            end(o.attempt());
+        } else if (order instanceof Order.Release o) {
+            held.keySet().removeIf(s -> o.state().isEmpty() ? false : s.equals(o.state()));
+        } else if (order instanceof Order.Deliver o) {
+            Client c = client(o.client());
+            if (c.ended || c.gone || now > c.endsBy) {
+                broken.add("rule 1: a token after the end");
+            }
+            if (o.index() != c.tokens++) {
+                broken.add("a token lost or doubled");
+            }
+            if (c.tokens == 1 && now > c.firstTokenBy) {
+                broken.add("rule 1: a first token after the deadline");
+            }
+        } else if (order instanceof Order.Finish o) {
+            finish(client(o.client()), o.answer());
+        }
+    }
+
+    private void finish(Client c, Answer answer) {
+        if (c.ended || c.gone) {
+            broken.add("rule 1: a second answer");
+        }
+        c.ended = true;
+        served += answer instanceof Answer.Served ? 1 : 0;
+        refused += answer instanceof Answer.Refused ? 1 : 0;
+        failed += answer instanceof Answer.Failed ? 1 : 0;
+        if (now > c.endsBy || c.tokens == 0 && now > c.firstTokenBy) {
+            broken.add("rule 1: answered " + (now - c.firstTokenBy) + " us late");
+        }
+    }
+
+    private void sent(AttemptId id, String name, String engine) {
+        names.put(id, name);
+        if (outBy.merge(name, 1, Integer::sum) > 1) {
+            broken.add("rule 2: two attempts out");
+        }
+        if (drainedAt.containsKey(engine)) {
+            broken.add("rule 3: sent to " + engine + " which drains");
+        }
+    }
+
+    private boolean end(AttemptId id) {
+        if (over.add(id)) {
+            outBy.merge(names.get(id), -1, Integer::sum);
+            return true;
+        }
+        return false;
+    }
+
+    private boolean isOut(AttemptId id) {
+        return !over.contains(id);
+    }
+
+    private void later(long delay, AttemptId id, Runnable what) {
+        world.set(now + delay, () -> {
+            // A carrier reports nothing of what it was told to drop; sometimes word is on its way already.
+            if (isOut(id) || random.nextInt(3) == 0) {
+                what.run();
+            }
+        });
+    }
+
+    private Outcome trouble() {
+        Outcome[] kinds = {Outcome.ERROR, Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.RESET};
+        return kinds[random.nextInt(kinds.length)];
+    }
+
+    private void lose(AttemptId id, Outcome how, long note) {
+        end(id);
+        router.attemptLost(now, id, how, note, Load.NONE);
+    }
+
+    private void read(Order.Read o) {
+        double luck = random.nextDouble();
+        long took = 1000 + random.nextLong(100_000);
+        if (luck < trouble / 2) {
+            later(took, o.attempt(), () -> lose(o.attempt(), trouble(), 0));
+        } else if (luck >= trouble * 0.7) {
+            String state = "s" + states++;
+            later(took, o.attempt(), () -> {
+                if (isOut(o.attempt())) {
+                    held.put(state, new HeldState(o.name(), now));
+                }
+                end(o.attempt());
+                router.readDone(now, o.attempt(), state, random.nextInt(100), Load.NONE);
+            });
+        }
+    }
+
+    private void write(Order.Write o) {
+        double luck = random.nextDouble();
+        long took = 1000 + random.nextLong(100_000);
+        if (o.state() != null) {
+            stateOf.put(o.attempt(), o.state().state());
+        }
+        if (luck < trouble * 0.3) {
+            Outcome how = trouble();
+            later(took, o.attempt(), () -> lose(o.attempt(), how, 0));
+            if (how == Outcome.ERROR || how == Outcome.RESET) {
+                run(o);
+            }
+        } else if (luck < trouble * 0.4) {
+            later(took, o.attempt(), () -> {
+                held.remove(stateOf.get(o.attempt()));
+                lose(o.attempt(), Outcome.FULL, 1);
+            });
+        } else if (luck >= trouble * 0.6) {
+            run(o);
+            tokens(o, o.fromToken(), took);
+        }
+    }
+
+    /** The attempt may have an effect: at most once where that matters. */
+    private void run(Order.Write o) {
+        boolean again = !ran.add(o.name());
+        if (o.call().cls() == Fleet.UNSAFE && (again || o.fromToken() > 0)) {
+            broken.add("rule 2: an unsafe request ran twice");
+        }
+        String cell = o.engine().equals("w1") ? "1" : "0";
+        String first = cells.putIfAbsent(o.name(), cell);
+        if (o.call().cls() == Fleet.KEYED && (first != null && !first.equals(cell) || o.fromToken() > 0)) {
+            broken.add("rule 2: a keyed request ran in two cells");
+        }
+    }
+
+    private final Set<String> ran = new HashSet<>();
+    private final Map<String, String> cells = new HashMap<>();
+
+    private void tokens(Order.Write o, int index, long delay) {
+        later(delay, o.attempt(), () -> {
+            held.remove(stateOf.get(o.attempt()));
+            double luck = random.nextDouble();
+            int most = o.call().maxTokens();
+            if (luck < trouble * 0.02) {
+                lose(o.attempt(), random.nextBoolean() ? Outcome.ERROR : Outcome.RESET, 0);
+            } else if (luck < trouble * 0.04) {
+                return;
+            } else if (luck < trouble * 0.06) {
+                router.token(now, o.attempt(), index + 1 + random.nextInt(3), "x", null);
+                tokens(o, index, 1000);
+            } else if (index >= most || index > o.fromToken() && random.nextInt(12) == 0) {
+                end(o.attempt());
+                router.streamDone(now, o.attempt(), random.nextDouble() < trouble * 0.1 ? index + 1 : index, 0,
+                        Load.NONE);
+                router.token(now, o.attempt(), index, "after", null);
+            } else {
+                router.token(now, o.attempt(), index, "t", null);
+                tokens(o, index + 1, 1000 + random.nextLong(60_000));
+            }
+        });
+    }
+
+    /** Rule 5: a state that no attempt waits for is taken or let go in time. */
+    private void check() {
+        held.forEach((state, h) -> {
+            if (outBy.getOrDefault(h.name(), 0) == 0 && now - Math.max(h.since(), lastOut.getOrDefault(h.name(), 0L))
+                    > Fleet.RELEASE) {
+                broken.add("rule 5: " + state + " pinned");
+            }
+        });
+        outBy.forEach((name, n) -> {
+            if (n > 0) {
+                lastOut.put(name, now);
+            }
+        });
+    }
+
+    private final Map<String, Long> lastOut = new HashMap<>();
+}
--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/life/HistoriesTest.java
@@ -0,0 +1,50 @@
+package sorrelhoist.core.life;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.Test;
+
+/** Seeded random histories against the rules, and the same with broken transitions, which must be caught. */
+class HistoriesTest {
+    private static final int COUNT = Integer.getInteger("histories", 3000);
+
+    @Test
+    void noHistoryBreaksARule() {
+        int served = 0;
+        int refused = 0;
+        int failed = 0;
+        for (long seed = 0; seed < COUNT; seed++) {
+            Histories h = new Histories(seed, UnaryOperator.identity());
+            h.play();
+            assertEquals(List.of(), h.broken, "seed " + seed);
+            served += h.served;
+            refused += h.refused;
+            failed += h.failed;
+        }
+        System.out.println(COUNT + " histories: " + served + " served, " + refused + " refused, " + failed + " failed");
+        assertTrue(served > COUNT && refused > COUNT / 20 && failed > COUNT / 100);
+    }
+
+    private static void caught(String what, UnaryOperator<Order> sabotage) {
+        for (long seed = 0; seed < 300; seed++) {
+            Histories h = new Histories(seed, sabotage);
+            h.play();
+            if (h.broken.stream().anyMatch(b -> b.startsWith(what))) {
+                return;
+            }
+        }
+        throw new AssertionError("not caught: " + what);
+    }
+
+    @Test
+    void brokenTransitionsAreCaught() {
+        caught("rule 1: no answer", o -> o instanceof Order.Finish ? null : o);
+        caught("rule 5: ", o -> o instanceof Order.Release ? null : o);
+        caught("a token lost or doubled", o -> o instanceof Order.Deliver d
+                ? new Order.Deliver(d.client(), d.index() / 2, d.text(), null) : o);
+        caught("rule 2: two attempts out", o -> o instanceof Order.Drop ? null : o);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/life/RouterTest.java
@@ -0,0 +1,246 @@
+package sorrelhoist.core.life;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import sorrelhoist.Routing.*;
+
+/** One request at a time through each of its ways, with time in the test's hands. */
+class RouterTest {
+    private final List<Order> orders = new ArrayList<>();
+    private Router router = router(true, true);
+
+    private Router router(boolean cancel, boolean resumes) {
+        orders.clear();
+        Router r = new Router(Fleet.settings(cancel, resumes, 7), orders::add);
+        r.members(0, ListForm.COMPLETE, Fleet.servers());
+        return r;
+    }
+
+    private <T extends Order> T last(Class<T> type) {
+        List<T> all = all(type);
+        assertTrue(!all.isEmpty(), "no " + type.getSimpleName());
+        return all.get(all.size() - 1);
+    }
+
+    private <T extends Order> List<T> all(Class<T> type) {
+        return orders.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    private Order.Write placed(long at, int cls, int tokens, long timeout) {
+        router.arrived(at, Fleet.call(cls, tokens, timeout));
+        Order.Read read = last(Order.Read.class);
+        router.readDone(at + 10_000, read.attempt(), "s1", 0, Load.NONE);
+        return last(Order.Write.class);
+    }
+
+    private void nothingLeft() {
+        assertEquals(0, router.open());
+        assertEquals(0, router.known());
+        assertEquals(0, router.attemptsOut());
+        assertEquals(0, router.held());
+    }
+
+    @Test
+    void aRequestIsReadThenWrittenThenServed() {
+        Order.Write w = placed(0, Fleet.SAFE, 10, 0);
+        assertEquals("s1", w.state().state());
+        for (int i = 0; i < 3; i++) {
+            router.token(20_000 + i, w.attempt(), i, "t", null);
+        }
+        router.streamDone(30_000, w.attempt(), 3, 0, Load.NONE);
+        assertEquals(3, all(Order.Deliver.class).size());
+        assertEquals(new Answer.Served(3), last(Order.Finish.class).answer());
+        assertEquals(0, all(Order.Release.class).size());
+        nothingLeft();
+    }
+
+    @Test
+    void aClientThatLeavesBetweenReadAndWriteLeavesNothingHeld() {
+        long client = router.arrived(0, Fleet.call(Fleet.SAFE, 10, 0));
+        Order.Write w = placedOf(client);
+        router.clientGone(20_000, client);
+        assertEquals(w.attempt(), last(Order.Drop.class).attempt());
+        assertEquals("s1", last(Order.Release.class).state());
+        assertEquals(0, all(Order.Finish.class).size());
+        nothingLeft();
+    }
+
+    private Order.Write placedOf(long client) {
+        router.readDone(10_000, last(Order.Read.class).attempt(), "s1", 0, Load.NONE);
+        return last(Order.Write.class);
+    }
+
+    @Test
+    void aReadGivenUpOnIsReleasedAtItsReader() {
+        long client = router.arrived(0, Fleet.call(Fleet.SAFE, 10, 0));
+        Order.Read r = last(Order.Read.class);
+        router.clientGone(5_000, client);
+        Order.Release release = last(Order.Release.class);
+        assertEquals(r.engine(), release.engine());
+        assertEquals("", release.state());
+        assertEquals(r.attempt().number(), release.upTo());
+        nothingLeft();
+    }
+
+    @Test
+    void lateWordOfADroppedAttemptChangesNothing() {
+        long client = router.arrived(0, Fleet.call(Fleet.SAFE, 10, 0));
+        Order.Read r = last(Order.Read.class);
+        router.clientGone(5_000, client);
+        int before = orders.size();
+        router.readDone(6_000, r.attempt(), "s", 0, Load.NONE);
+        router.attemptLost(7_000, r.attempt(), Outcome.ERROR, 0, Load.NONE);
+        router.token(7_000, r.attempt(), 0, "t", null);
+        assertEquals(before, orders.size());
+        nothingLeft();
+    }
+
+    @Test
+    void aBrokenStreamGoesOnFromItsLastToken() {
+        Order.Write w = placed(0, Fleet.SAFE, 10, 0);
+        router.token(20_000, w.attempt(), 0, "a ", null);
+        router.token(30_000, w.attempt(), 1, "b ", null);
+        router.attemptLost(40_000, w.attempt(), Outcome.RESET, 0, Load.NONE);
+        Order.Read again = last(Order.Read.class);
+        assertNotEquals(w.attempt().request(), again.attempt().request());
+        assertTrue(again.prompt().endsWith("a b "));
+        assertEquals(102, again.promptTokens());
+        router.readDone(50_000, again.attempt(), "s2", 100, Load.NONE);
+        Order.Write on = last(Order.Write.class);
+        assertEquals(2, on.fromToken());
+        router.token(60_000, on.attempt(), 2, "c ", null);
+        router.streamDone(70_000, on.attempt(), 3, 0, Load.NONE);
+        assertEquals(List.of(0, 1, 2), all(Order.Deliver.class).stream().map(Order.Deliver::index).toList());
+        assertEquals(1, all(Order.Finish.class).size());
+        assertEquals(new Answer.Served(3), last(Order.Finish.class).answer());
+        nothingLeft();
+    }
+
+    @Test
+    void aBrokenStreamOfAnUnsafeClassFailsAtOnce() {
+        Order.Write w = placed(0, Fleet.UNSAFE, 10, 0);
+        router.token(20_000, w.attempt(), 0, "a ", null);
+        router.attemptLost(40_000, w.attempt(), Outcome.RESET, 0, Load.NONE);
+        assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
+        assertEquals(1, all(Order.Read.class).size());
+        nothingLeft();
+    }
+
+    @Test
+    void wherestreamsAreNotResumedABrokenOneFailsAtOnce() {
+        router = router(true, false);
+        Order.Write w = placed(0, Fleet.SAFE, 10, 0);
+        router.token(20_000, w.attempt(), 0, "a ", null);
+        router.attemptLost(40_000, w.attempt(), Outcome.ERROR, 0, Load.NONE);
+        assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
+        nothingLeft();
+    }
+
+    @Test
+    void aSilentStreamIsTakenForDeadAfterWhatWasSeen() {
+        Order.Write w = placed(0, Fleet.SAFE, 100, 0);
+        long t = 20_000;
+        for (int i = 0; i < 50; i++, t += 20_000) {
+            router.token(t, w.attempt(), i, "t ", null);
+            router.advance(t);
+        }
+        long last = t - 20_000;
+        router.advance(last + 700_000);
+        assertEquals(0, all(Order.Drop.class).size());
+        router.advance(last + 1_000_000);
+        assertEquals(w.attempt(), last(Order.Drop.class).attempt());
+        assertTrue(last(Order.Read.class).prompt().endsWith("t "));
+    }
+
+    @Test
+    void tokensOutOfOrderAndAfterTheEndNeverReachTheClient() {
+        router = router(true, false);
+        Order.Write w = placed(0, Fleet.SAFE, 10, 0);
+        router.token(20_000, w.attempt(), 0, "a", null);
+        router.token(21_000, w.attempt(), 2, "c", null);
+        router.token(22_000, w.attempt(), 1, "b", null);
+        assertEquals(1, all(Order.Deliver.class).size());
+        assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
+        assertEquals(1, all(Order.Finish.class).size());
+        nothingLeft();
+    }
+
+    @Test
+    void anAnswerThatEndsShortOfItsCountIsNoAnswer() {
+        router = router(true, false);
+        Order.Write w = placed(0, Fleet.SAFE, 10, 0);
+        router.token(20_000, w.attempt(), 0, "a", null);
+        router.streamDone(21_000, w.attempt(), 2, 0, Load.NONE);
+        assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
+    }
+
+    @Test
+    void aStreamEndsBeforeItsClientsTimeIsUp() {
+        Order.Write w = placed(0, Fleet.SAFE, 10, Fleet.SECOND);
+        router.token(20_000, w.attempt(), 0, "a", null);
+        for (long t = 100_000; t < 980_000; t += 100_000) {
+            router.advance(t);
+        }
+        assertEquals(0, all(Order.Finish.class).size());
+        router.advance(Fleet.SECOND - Fleet.MARGIN);
+        Answer.Failed failed = assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
+        assertTrue(failed.late());
+        nothingLeft();
+    }
+
+    @Test
+    void everySilentEngineMeansAnAnswerByTheDeadline() {
+        router.arrived(0, Fleet.call(Fleet.SAFE, 10, 0));
+        while (router.nextAlarm() < 4 * Fleet.SECOND + 1 && router.open() > 0) {
+            router.advance(router.nextAlarm());
+        }
+        assertEquals(1, all(Order.Finish.class).size());
+        nothingLeft();
+    }
+
+    @Test
+    void whereCancelsAreNotAllowedAGoneClientsAttemptEndsByItself() {
+        router = router(false, true);
+        long client = router.arrived(0, Fleet.call(Fleet.SAFE, 10, 0));
+        Order.Read r = last(Order.Read.class);
+        router.clientGone(5_000, client);
+        assertEquals(0, all(Order.Drop.class).size());
+        router.readDone(10_000, r.attempt(), "s1", 0, Load.NONE);
+        assertEquals("s1", last(Order.Release.class).state());
+        nothingLeft();
+    }
+
+    @Test
+    void aDrainingRouterRefusesWithAHintAndEndsTheRestWhenTold() {
+        Order.Write w = placed(0, Fleet.SAFE, 10, 0);
+        router.token(20_000, w.attempt(), 0, "a", null);
+        router.drainNow();
+        router.arrived(30_000, Fleet.call(Fleet.SAFE, 10, 0));
+        assertTrue(((Answer.Refused) last(Order.Finish.class).answer()).backoffMicros() > 0);
+        router.endAll(40_000, "the edge stops");
+        assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
+        assertEquals(2, all(Order.Finish.class).size());
+        nothingLeft();
+    }
+
+    @Test
+    void noStepOutsideTheTableIsTaken() {
+        assertThrows(IllegalStateException.class, () -> Phase.WAITING.after(Phase.Step.READ_DONE));
+        assertThrows(IllegalStateException.class, () -> Phase.STREAMING.after(Phase.Step.REFUSE));
+        assertThrows(IllegalStateException.class, () -> Phase.ENDED.after(Phase.Step.TOKEN));
+        assertEquals(Phase.HOLDING, Phase.PLACED.after(Phase.Step.WRITE_LOST));
+    }
+
+    @Test
+    void aPlaceThatComesTooLateIsLetGo() {
+        router.placeAnswered(5, 99, "w1", true, "p1");
+        assertEquals("p1", last(Order.Release.class).place());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/members/MembersTest.java
@@ -0,0 +1,110 @@
+package sorrelhoist.core.members;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import sorrelhoist.Routing.Server;
+import sorrelhoist.Routing.ServerState;
+import sorrelhoist.core.members.RegistryView.Change;
+import sorrelhoist.core.members.RegistryView.Instance;
+
+/** The registry's list read as engines, the edge's table of them, and the edges' own numbers. */
+class MembersTest {
+    private static final long S = 1_000_000;
+
+    private static Instance instance(String id, String status, long startedMs) {
+        return new Instance("ENGINES", id, status, "127.0.0.1:1", Map.of("zone", "a", "rack", "r", "kind", "prefill",
+                "started-ms", "" + startedMs));
+    }
+
+    private static EngineTable.Entry entry(String id, ServerState state, long incarnation, long upFor) {
+        return new EngineTable.Entry(id, "a", "r", "prefill", state, 1, incarnation, upFor, "127.0.0.1:1");
+    }
+
+    @Test
+    void aDeltaIsKeptOnlyWhereItsHashCodeAgrees() {
+        RegistryView view = new RegistryView();
+        assertFalse(view.isComplete());
+        view.full(List.of(instance("a", "UP", 0), instance("b", "UP", 0)));
+        assertEquals("UP_2_", view.hashCodeText());
+        assertTrue(view.delta(List.of(new Change("MODIFIED", instance("b", "DOWN", 0))), "DOWN_1_UP_1_"));
+        assertTrue(view.delta(List.of(new Change("DELETED", instance("b", "DOWN", 0))), "UP_1_"));
+        assertFalse(view.delta(List.of(), "UP_2_"));
+        assertFalse(view.isComplete());
+        view.full(List.of(instance("a", "UP", 0)));
+        assertTrue(view.isComplete());
+    }
+
+    @Test
+    void statesAreReadFromStatusAndAbsence() {
+        RosterBook book = new RosterBook();
+        List<RosterBook.Line> first = book.take(S, List.of(instance("a", "UP", 0), instance("b", "STARTING", 0)));
+        assertEquals(1, first.size());
+        assertEquals(0, book.take(2 * S, List.of(instance("a", "UP", 0))).size());
+        assertEquals(1, book.epoch());
+        assertEquals(ServerState.DRAINING, book.take(3 * S, List.of(instance("a", "OUT_OF_SERVICE", 0))).get(0)
+                .entry().state());
+        RosterBook.Line gone = book.take(4 * S, List.of()).get(0);
+        assertEquals(ServerState.GONE, gone.entry().state());
+        assertEquals(4 * S, gone.learnedAt());
+        assertNull(book.address("a"));
+        assertEquals(0, book.take(5 * S, List.of()).size());
+        assertEquals(1, book.take(6 * S, List.of(instance("a", "UP", 5500))).size());
+        assertEquals(4, book.epoch());
+    }
+
+    @Test
+    void metadataThatCannotBeUsedIsSaidAndLeftOut() {
+        RosterBook book = new RosterBook();
+        assertEquals(0, book.take(0, List.of(new Instance("E", "x", "UP", "127.0.0.1:1", Map.of("zone", "a")),
+                new Instance("E", "y", "UP", "127.0.0.1:1", Map.of("zone", "a", "kind", "k", "size", "big")))).size());
+        assertEquals(2, book.complaints().size());
+    }
+
+    @Test
+    void aStartsTimeMovesOnlyWithItsIncarnation() {
+        EngineTable table = new EngineTable(List.of("a"), List.of("prefill"));
+        long since = table.take(100 * S, List.of(entry("e", ServerState.SERVING, 7, 10 * S))).get(0).since();
+        assertEquals(90 * S, since);
+        // The same process, told again with an age that a slow network has bent.
+        assertEquals(since, table.take(105 * S, List.of(entry("e", ServerState.DRAINING, 7, 14 * S))).get(0).since());
+        // It restarted within a second under the same id: later, whatever the ages say.
+        Server again = table.take(106 * S, List.of(entry("e", ServerState.SERVING, 8, 30 * S))).get(0);
+        assertTrue(again.since() > since);
+        // Late word of the process before says nothing of the one that runs.
+        assertEquals(List.of(), table.take(107 * S, List.of(entry("e", ServerState.GONE, 7, 0))));
+    }
+
+    @Test
+    void enginesOfUnknownZonesOrKindsAreLeftOutAndSaid() {
+        EngineTable table = new EngineTable(List.of("b"), List.of("prefill"));
+        assertEquals(List.of(), table.take(0, List.of(entry("e", ServerState.SERVING, 1, 0))));
+        assertTrue(table.complaints().get(0).contains("zone \"a\""));
+    }
+
+    @Test
+    void edgesKeepTheirNumbersAndGapsClose() {
+        Seats seats = new Seats(2, 10 * S);
+        seats.attached("x");
+        assertEquals(new Seats.Seat(2, 0), seats.of("x"));
+        seats.attached("y");
+        seats.attached("z");
+        assertEquals(new Seats.Seat(3, 2), seats.of("z"));
+        seats.left(0, "x");
+        assertFalse(seats.expire(9 * S));
+        assertEquals(3, seats.of("y").routers());
+        seats.attached("x");
+        assertFalse(seats.expire(20 * S));
+        seats.left(20 * S, "x");
+        assertTrue(seats.expire(30 * S));
+        assertEquals(new Seats.Seat(2, 0), seats.of("y"));
+        assertEquals(new Seats.Seat(2, 1), seats.of("z"));
+        assertEquals("z", seats.at(1));
+        assertNull(seats.of("x"));
+    }
+}
--- a/decide/src/test/java/sorrelhoist/DecideTest.java
+++ b/decide/src/test/java/sorrelhoist/DecideTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
-import static assertThrows;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static sorrelhoist.Fixtures.*;
 
