--- /dev/null
+++ b/app/src/test/java/sorrelhoist/app/LocalFleet.java
@@ -0,0 +1,158 @@
+package sorrelhoist.app;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import sorrelhoist.edge.Edge;
+import sorrelhoist.edge.EdgeSettings;
+import sorrelhoist.lab.load.InferClient;
+import sorrelhoist.planner.Planner;
+import sorrelhoist.planner.PlannerSettings;
+import sorrelhoist.protocol.grpc.ClientCall;
+import sorrelhoist.protocol.grpc.GrpcChannel;
+import sorrelhoist.protocol.grpc.Status;
+import sorrelhoist.protocol.hpack.Headers;
+import sorrelhoist.protocol.net.Net;
+import sorrelhoist.standin.engine.Control;
+import sorrelhoist.standin.engine.Engine;
+import sorrelhoist.standin.engine.EngineSettings;
+import sorrelhoist.standin.registry.Registry;
+
+/** A whole fleet inside the test's process, its parts talking over loopback sockets as they do apart. */
+final class LocalFleet implements AutoCloseable {
+    static final String MODEL = "sorrel";
+    private static final long BOUND = 10_000;
+    final EventLoopGroup loops = Net.loops(2, "fleet");
+    final Registry registry;
+    Planner planner;
+    final int plannerPort;
+    final Map<String, Engine> engines = new LinkedHashMap<>();
+    final List<Edge> edges = new ArrayList<>();
+    private final List<EventLoopGroup> all = new ArrayList<>();
+
+    LocalFleet(int readers, int writers, int edgeCount) throws IOException {
+        this(readers, writers, edgeCount, true);
+    }
+
+    LocalFleet(int readers, int writers, int edgeCount, boolean resumes) throws IOException {
+        registry = new Registry(new Registry.Settings(0, 200_000, 30_000_000, ""), loops).start();
+        planner = new Planner(plannerSettings(0)).start();
+        plannerPort = planner.port();
+        for (int i = 1; i <= readers; i++) {
+            engine("r" + i, "read", "rack" + (i % 2), 0);
+        }
+        for (int i = 1; i <= writers; i++) {
+            engine("w" + i, "write", "rack" + (i % 2), 0);
+        }
+        for (int i = 1; i <= edgeCount; i++) {
+            edges.add(new Edge(edgeSettings("edge-" + i, resumes)).start());
+        }
+        await("the edges to know the engines", () -> edges.stream().allMatch(Edge::isReady) && knowsAll());
+    }
+
+    private boolean knowsAll() {
+        return InferenceProbe.served(this, 0);
+    }
+
+    PlannerSettings plannerSettings(int port) {
+        return new PlannerSettings(port, Net.LOOPBACK + ":" + registry.port(), "ENGINES", 1, 50, 1000, 3000, 5000,
+                500, 16);
+    }
+
+    Engine engine(String id, String role, String rack, int slots) throws IOException {
+        EventLoopGroup own = Net.loops(1, id);
+        all.add(own);
+        Engine engine = new Engine(new EngineSettings(id, role.equals("read") ? "prefill" : "decode", role, "a", rack,
+                0, Net.LOOPBACK + ":" + registry.port(), 200_000, 1_000_000, slots == 0 ? 64 : slots,
+                slots == 0 ? 128 : 0, 200_000, 100_000, 500_000, 1_000, 20, 2048, 5_000_000, 2_000_000, false, true, 0.3, 2_000_000, 3,
+                3_000_000, 100, 2_000_000, "", 7), own);
+        engine.dies(engine::kill);
+        engines.put(id, engine.start());
+        return engine;
+    }
+
+    EdgeSettings edgeSettings(String name, boolean resumes) {
+        return new EdgeSettings(name, "a", List.of("a"), 0, Net.LOOPBACK + ":" + plannerPort, MODEL, 1,
+                List.of(new EdgeSettings.ClassSettings("chat", 1000, 40, 4000, 80, 1, "safe", "all", 0),
+                        new EdgeSettings.ClassSettings("order", 1000, 40, 4000, 80, 1, "unsafe", "all", 0)),
+                List.of(),
+                List.of(new EdgeSettings.KindSettings("prefill", "read", 200_000),
+                        new EdgeSettings.KindSettings("decode", "write", 200_000)),
+                new EdgeSettings.LimitSettings(6, true, true, true, 2000, false, true, 0.003, 0.003, "outcomes", 0.1),
+                new EdgeSettings.RuleSettings(0.26, 2000, 3, 3000, 500),
+                new EdgeSettings.ServingSettings(20, resumes, 10_000, 64, 4096, 1 << 20, 2, 4, 250, 30_000, 1000,
+                        2000),
+                5);
+    }
+
+    String address(int edge) {
+        return Net.LOOPBACK + ":" + edges.get(edge).port();
+    }
+
+    InferClient client(int edge) {
+        return new InferClient(loops.next(), address(edge), MODEL);
+    }
+
+    /** Tells an engine what to suffer. */
+    void tell(String engine, String command) {
+        GrpcChannel channel = new GrpcChannel(loops.next(), Net.LOOPBACK + ":" + engines.get(engine).port(),
+                GrpcChannel.Options.PLAIN);
+        var done = new java.util.concurrent.CompletableFuture<Status>();
+        ClientCall call = channel.call(Control.PATH, null, new ClientCall.Listener() {
+            @Override
+            public void message(ClientCall c, byte[] message, int wireBytes) {
+                c.credit(wireBytes);
+            }
+
+            @Override
+            public void closed(ClientCall c, Status status, Headers trailers, ClientCall.End end) {
+                done.complete(status);
+            }
+        });
+        call.sendLast(Control.bytes(command));
+        channel.loop().execute(() -> channel.start(call));
+        Status status = done.join();
+        channel.loop().execute(channel::shut);
+        if (!status.isOk()) {
+            throw new AssertionError(status);
+        }
+    }
+
+    static void await(String what, BooleanSupplier condition) {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BOUND);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("waited too long for " + what);
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Waits until an edge holds nothing: no requests, attempts, states or calls. */
+    void nothingLeft(int edge) {
+        await("edge " + edge + " to hold nothing", () -> {
+            for (int n : edges.get(edge).counts().join()) {
+                if (n != 0) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+
+    @Override
+    public void close() {
+        edges.forEach(Edge::stop);
+        planner.stop();
+        engines.values().forEach(Engine::kill);
+        registry.stop();
+        all.forEach(g -> g.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS));
+        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+}
--- a/core/src/main/java/sorrelhoist/core/life/Order.java
+++ b/core/src/main/java/sorrelhoist/core/life/Order.java
@@ -11,9 +11,10 @@
      * @param call what is asked
      * @param prompt the text, with what was answered so far where a stream goes on
      * @param promptTokens its tokens
+     * @param until when the attempt is cut, on the router's clock; Long.MAX_VALUE for never
      */
-    record Read(AttemptId attempt, String name, String engine, Call call, String prompt, long promptTokens)
-            implements Order {
+    record Read(AttemptId attempt, String name, String engine, Call call, String prompt, long promptTokens,
+            long until) implements Order {
     }
 
     /**
@@ -28,9 +29,10 @@
      * @param prompt the text
      * @param promptTokens its tokens
      * @param fromToken the first index that the client has not got
+     * @param until when the client's time for the whole answer is up; Long.MAX_VALUE where it did not say
      */
     record Write(AttemptId attempt, String name, String engine, Call call, Held state, String place, String prompt,
-            long promptTokens, int fromToken) implements Order {
+            long promptTokens, int fromToken, long until) implements Order {
     }
 
     /**
--- a/core/src/main/java/sorrelhoist/core/life/Router.java
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -534,14 +534,15 @@
         }
         if (read) {
             carrier.accept(new Order.Read(id, life.name, s.server(), life.call, life.prompt(),
-                    life.promptTokens()));
+                    life.promptTokens(), cut));
         } else {
             boolean placed = s.server().equals(life.placeEngine);
             if (!placed) {
                 releasePlace(life);
             }
             carrier.accept(new Order.Write(id, life.name, s.server(), life.call, life.state,
-                    placed ? life.place : "", life.prompt(), life.promptTokens(), life.tokens));
+                    placed ? life.place : "", life.prompt(), life.promptTokens(), life.tokens,
+                    life.endsBy));
         }
     }
 
--- a/core/src/main/java/sorrelhoist/core/members/RosterBook.java
+++ b/core/src/main/java/sorrelhoist/core/members/RosterBook.java
@@ -38,10 +38,19 @@
 
     private final Map<String, Line> lines = new LinkedHashMap<>();
     private final List<String> complaints = new ArrayList<>();
+    private final long doubtMicros;
     private long epoch;
+    private long doubtSince;
 
-    /** Makes an empty book. */
-    public RosterBook() {
+    /**
+     * Makes an empty book.
+     *
+     * @param doubtMicros how long the absence of half the engines or more, all at once, is doubted: a registry that
+     *     restarted lists nothing, while the engines run. Harm: if they are gone indeed, requests sent meanwhile
+     *     fail to connect and are repeated elsewhere
+     */
+    public RosterBook(long doubtMicros) {
+        this.doubtMicros = doubtMicros;
     }
 
     /**
@@ -63,16 +72,27 @@
                 note(now, before, entry, changed);
             }
         }
-        for (Line before : new ArrayList<>(lines.values())) {
-            EngineTable.Entry e = before.entry();
-            if (!seen.contains(e.id()) && e.state() != ServerState.GONE) {
-                note(now, before, with(e, ServerState.GONE), changed);
-            }
+        List<Line> absent = lines.values().stream().filter(l -> l.entry().state() != ServerState.GONE
+                && !seen.contains(l.entry().id())).toList();
+        if (doubted(now, absent.size())) {
+            complaints.add(absent.size() + " engines vanished at once; this is not believed yet");
+        } else {
+            absent.forEach(l -> note(now, l, with(l.entry(), ServerState.GONE), changed));
         }
         epoch += changed.isEmpty() ? 0 : 1;
         return changed;
     }
 
+    private boolean doubted(long now, int absent) {
+        long had = lines.values().stream().filter(l -> l.entry().state() != ServerState.GONE).count();
+        if (absent < 2 || 2L * absent < had) {
+            doubtSince = 0;
+            return false;
+        }
+        doubtSince = doubtSince == 0 ? now : doubtSince;
+        return now - doubtSince < doubtMicros;
+    }
+
     private void note(long now, Line before, EngineTable.Entry entry, List<Line> changed) {
         boolean same = before != null && with(entry, before.entry().state(), before.entry().upForMicros())
                 .equals(before.entry()) && before.entry().state() == entry.state();
--- a/core/src/test/java/sorrelhoist/core/members/MembersTest.java
+++ b/core/src/test/java/sorrelhoist/core/members/MembersTest.java
@@ -42,7 +42,7 @@
 
     @Test
     void statesAreReadFromStatusAndAbsence() {
-        RosterBook book = new RosterBook();
+        RosterBook book = new RosterBook(10 * S);
         List<RosterBook.Line> first = book.take(S, List.of(instance("a", "UP", 0), instance("b", "STARTING", 0)));
         assertEquals(1, first.size());
         assertEquals(0, book.take(2 * S, List.of(instance("a", "UP", 0))).size());
@@ -58,9 +58,22 @@
         assertEquals(4, book.epoch());
     }
 
+    @Test
+    void aRegistryThatListsNothingIsNotBelievedAtOnce() {
+        RosterBook book = new RosterBook(10 * S);
+        book.take(S, List.of(instance("a", "UP", 0), instance("b", "UP", 0), instance("c", "UP", 0)));
+        assertEquals(0, book.take(2 * S, List.of()).size());
+        assertTrue(book.complaints().get(0).contains("vanished"));
+        assertEquals(0, book.take(3 * S, List.of(instance("a", "UP", 0), instance("b", "UP", 0),
+                instance("c", "UP", 0))).size());
+        assertEquals(0, book.take(4 * S, List.of()).size());
+        assertEquals(0, book.take(13 * S, List.of()).size());
+        assertEquals(3, book.take(14 * S, List.of()).size());
+    }
+
     @Test
     void metadataThatCannotBeUsedIsSaidAndLeftOut() {
-        RosterBook book = new RosterBook();
+        RosterBook book = new RosterBook(10 * S);
         assertEquals(0, book.take(0, List.of(new Instance("E", "x", "UP", "127.0.0.1:1", Map.of("zone", "a")),
                 new Instance("E", "y", "UP", "127.0.0.1:1", Map.of("zone", "a", "kind", "k", "size", "big")))).size());
         assertEquals(2, book.complaints().size());
--- /dev/null
+++ b/edge/src/main/java/sorrelhoist/edge/Edge.java
@@ -0,0 +1,139 @@
+package sorrelhoist.edge;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sorrelhoist.core.members.EngineTable;
+import sorrelhoist.protocol.grpc.GrpcChannel;
+import sorrelhoist.protocol.grpc.GrpcServer;
+import sorrelhoist.protocol.http2.Http2Connection;
+import sorrelhoist.protocol.http2.Http2Limits;
+import sorrelhoist.protocol.net.Net;
+
+/** An edge: client listener, router, engine connections and the stream to the planner, put together. */
+public final class Edge implements Http2Connection.Watcher {
+    private static final Logger LOG = LoggerFactory.getLogger(Edge.class);
+    private static final int MESSAGE_OVERHEAD = 64 << 10;
+    private static final long LOOK_MILLIS = 20;
+    private final EdgeSettings settings;
+    private final EventLoopGroup network;
+    private final RouterLoop loop;
+    private final Engines engines;
+    private final PlannerLink planner;
+    private final Set<Http2Connection> clients = ConcurrentHashMap.newKeySet();
+    private Channel listener;
+    private volatile boolean draining;
+
+    /**
+     * Makes an edge; {@link #start} starts it.
+     *
+     * @param settings what it is told
+     */
+    public Edge(EdgeSettings settings) {
+        this.settings = settings;
+        EdgeSettings.ServingSettings s = settings.serving();
+        long incarnation = System.currentTimeMillis();
+        network = Net.loops(s.threads(), "edge-net");
+        loop = new RouterLoop(settings.router(incarnation));
+        EngineTable table = new EngineTable(settings.zones(),
+                settings.kinds().stream().map(EdgeSettings.KindSettings::name).toList());
+        engines = new Engines(settings.name(), loop, network, table, new GrpcChannel.Options(
+                s.connectionsPerEngine(), s.dialMs() * 1000, s.idleMs() * 1000, 1 << 20, Http2Limits.CLIENT));
+        planner = new PlannerLink(settings, incarnation, loop, table, network.next());
+        loop.engines(order -> {
+            engines.carry(order);
+            planner.carry(order);
+        });
+    }
+
+    /** Listens, and looks for its planner. {@return this} */
+    public Edge start() throws IOException {
+        InferenceApi api = new InferenceApi(settings, loop, () -> loop.ready() && !draining);
+        GrpcServer server = api.server(settings.serving().maxPromptBytes() + MESSAGE_OVERHEAD);
+        Http2Limits limits = Http2Limits.SERVER.withMaxStreams(settings.serving().streamsPerConnection());
+        listener = Net.listen(network, settings.port(), () -> Http2Connection.server(limits, server, this));
+        planner.start();
+        LOG.atInfo().addKeyValue("event", "started").addKeyValue("edge", settings.name())
+                .addKeyValue("port", port()).log("edge listens");
+        return this;
+    }
+
+    /** {@return the port on which clients are served} */
+    public int port() {
+        return Net.port(listener);
+    }
+
+    /** {@return requests without a final answer, a moment ago} */
+    public int open() {
+        return loop.open();
+    }
+
+    /** {@return whether a roster was heard of} */
+    public boolean isReady() {
+        return loop.ready();
+    }
+
+    /** What is still held, for tests: open, known, out and held requests, and calls to engines. */
+    public java.util.concurrent.CompletableFuture<int[]> counts() {
+        var result = new java.util.concurrent.CompletableFuture<int[]>();
+        loop.post(r -> result.complete(new int[] {r.open(), r.known(), r.attemptsOut(), r.held(),
+            engines.flights()}));
+        return result;
+    }
+
+    @Override
+    public void ready(Http2Connection connection) {
+        clients.add(connection);
+    }
+
+    @Override
+    public void closed(Http2Connection connection, String why) {
+        clients.remove(connection);
+    }
+
+    /**
+     * Ends in good order: takes no new requests, lets running answers end within their time, then stops. Blocks.
+     *
+     * @param hurry asked again and again; true ends the wait
+     */
+    public void drain(java.util.function.BooleanSupplier hurry) {
+        draining = true;
+        LOG.atInfo().addKeyValue("event", "draining").addKeyValue("open", open()).log("edge drains");
+        loop.post(sorrelhoist.core.life.Router::drainNow);
+        clients.forEach(c -> c.executor().execute(c::drain));
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.serving().drainMs());
+        while (loop.open() > 0 && System.nanoTime() < end && !hurry.getAsBoolean()) {
+            pause();
+        }
+        loop.post(r -> r.endAll(loop.now(), "the edge stops"));
+        long last = System.nanoTime() + TimeUnit.SECONDS.toNanos(1);
+        while ((loop.open() > 0 || !clients.isEmpty()) && System.nanoTime() < last) {
+            pause();
+        }
+        stop();
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(LOOK_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Stops at once. */
+    public void stop() {
+        if (listener != null) {
+            listener.close();
+        }
+        planner.stop();
+        engines.stop();
+        loop.stop();
+        network.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/sorrelhoist/edge/Engines.java
@@ -0,0 +1,304 @@
+package sorrelhoist.edge;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sorrelhoist.Routing.Load;
+import sorrelhoist.Routing.Outcome;
+import sorrelhoist.core.life.AttemptId;
+import sorrelhoist.core.life.Order;
+import sorrelhoist.core.members.EngineTable;
+import sorrelhoist.protocol.engine.DecodeEvent;
+import sorrelhoist.protocol.engine.DecodeRequest;
+import sorrelhoist.protocol.engine.EngineApi;
+import sorrelhoist.protocol.engine.Finish;
+import sorrelhoist.protocol.engine.LoadReport;
+import sorrelhoist.protocol.engine.PrefillReply;
+import sorrelhoist.protocol.engine.PrefillRequest;
+import sorrelhoist.protocol.engine.ReleaseRequest;
+import sorrelhoist.protocol.engine.ReserveReply;
+import sorrelhoist.protocol.engine.ReserveRequest;
+import sorrelhoist.protocol.grpc.ClientCall;
+import sorrelhoist.protocol.grpc.GrpcChannel;
+import sorrelhoist.protocol.grpc.Status;
+import sorrelhoist.protocol.grpc.Timeouts;
+import sorrelhoist.protocol.hpack.Headers;
+import sorrelhoist.protocol.protobuf.ProtoException;
+
+/** Carries orders to engines and their answers back. Called on the router's thread; calls run on network threads. */
+final class Engines {
+    private static final Logger LOG = LoggerFactory.getLogger(Engines.class);
+    private static final long MAX_HOP = 3_600_000_000L;
+
+    private record Flight(GrpcChannel channel, ClientCall call) {
+    }
+
+    private final String edge;
+    private final RouterLoop loop;
+    private final EventLoopGroup network;
+    private final EngineTable table;
+    private final GrpcChannel.Options options;
+    private final Map<String, GrpcChannel> channels = new HashMap<>();
+    private final Map<AttemptId, Flight> flights = new HashMap<>();
+
+    Engines(String edge, RouterLoop loop, EventLoopGroup network, EngineTable table, GrpcChannel.Options options) {
+        this.edge = edge;
+        this.loop = loop;
+        this.network = network;
+        this.table = table;
+        this.options = options;
+    }
+
+    /** Carries out an order, where it is one for engines. */
+    void carry(Order order) {
+        if (order instanceof Order.Read o) {
+            read(o);
+        } else if (order instanceof Order.Write o) {
+            write(o);
+        } else if (order instanceof Order.Drop o) {
+            Flight flight = flights.remove(o.attempt());
+            if (flight != null) {
+                flight.channel().loop().execute(flight.call()::cancel);
+            }
+        } else if (order instanceof Order.Reserve o) {
+            reserve(o);
+        } else if (order instanceof Order.Release o) {
+            ReleaseRequest r = new ReleaseRequest(o.name(), o.state(), o.place(), o.upTo());
+            fire(o.engine(), EngineApi.RELEASE, r.bytes());
+        } else if (order instanceof Order.CloseIdle o) {
+            GrpcChannel channel = channel(o.engine());
+            if (channel != null) {
+                channel.loop().execute(channel::closeIdle);
+            }
+        }
+    }
+
+    private GrpcChannel channel(String engine) {
+        String address = table.address(engine);
+        GrpcChannel known = channels.get(engine);
+        if (address == null || known != null && known.address().equals(address)) {
+            return known;
+        }
+        if (known != null) {
+            known.loop().execute(known::shut);
+        }
+        GrpcChannel fresh;
+        try {
+            fresh = new GrpcChannel(network.next(), address, options);
+        } catch (IllegalArgumentException e) {
+            LOG.atWarn().addKeyValue("event", "bad_address").addKeyValue("engine", engine).log(e.getMessage());
+            return null;
+        }
+        channels.put(engine, fresh);
+        return fresh;
+    }
+
+    private Headers until(long until) {
+        long left = until == Long.MAX_VALUE ? MAX_HOP : Math.max(1, until - loop.now());
+        return new Headers().add("grpc-timeout", Timeouts.format(left));
+    }
+
+    private void fly(AttemptId id, String engine, String path, Headers metadata, byte[] request, Answers answers) {
+        GrpcChannel channel = channel(engine);
+        if (channel == null) {
+            loop.post(r -> r.attemptLost(loop.now(), id, Outcome.CONNECT_FAILED, 0, Load.NONE));
+            return;
+        }
+        answers.on = channel.loop();
+        ClientCall call = channel.call(path, metadata, answers);
+        call.sendLast(request);
+        flights.put(id, new Flight(channel, call));
+        channel.loop().execute(() -> channel.start(call));
+    }
+
+    private void fire(String engine, String path, byte[] request) {
+        GrpcChannel channel = channel(engine);
+        if (channel != null) {
+            ClientCall call = channel.call(path, until(loop.now() + options.dialMicros() * 4), new Unheard());
+            call.sendLast(request);
+            channel.loop().execute(() -> channel.start(call));
+        }
+    }
+
+    private void read(Order.Read o) {
+        PrefillRequest request = new PrefillRequest(o.name(), o.call().clientId(), edge, o.attempt().number(),
+                o.prompt(), (int) o.promptTokens(), o.call().maxTokens(), o.call().cls());
+        fly(o.attempt(), o.engine(), EngineApi.PREFILL, until(o.until()), request.bytes(), new Reading(o.attempt()));
+    }
+
+    private void write(Order.Write o) {
+        boolean alone = o.state() == null;
+        String readerAddress = alone ? "" : table.address(o.state().engine());
+        DecodeRequest request = new DecodeRequest(o.name(), o.call().clientId(), edge, o.attempt().number(),
+                alone ? "" : o.state().state(), readerAddress, alone ? o.prompt() : "", (int) o.promptTokens(),
+                o.call().maxTokens(), o.fromToken(), o.place(), o.call().cls());
+        fly(o.attempt(), o.engine(), EngineApi.DECODE, until(o.until()), request.bytes(), new Writing(o.attempt()));
+    }
+
+    private void reserve(Order.Reserve o) {
+        GrpcChannel channel = channel(o.engine());
+        if (channel == null) {
+            return;
+        }
+        ClientCall call = channel.call(EngineApi.RESERVE, until(loop.now() + options.dialMicros()), new Unheard() {
+            @Override
+            public void message(ClientCall c, byte[] message, int wireBytes) {
+                try {
+                    ReserveReply reply = ReserveReply.parse(message);
+                    loop.post(r -> r.placeAnswered(loop.now(), o.request(), o.engine(), reply.held(),
+                            reply.placeId()));
+                } catch (ProtoException e) {
+                    c.cancel();
+                }
+            }
+        });
+        call.sendLast(new ReserveRequest(o.name(), (int) o.call().promptTokens(), o.call().maxTokens()).bytes());
+        channel.loop().execute(() -> channel.start(call));
+    }
+
+    /** Attempts that are out, for tests and logs; on the router's thread. */
+    int flights() {
+        return flights.size();
+    }
+
+    void stop() {
+        channels.values().forEach(c -> c.loop().execute(c::shut));
+    }
+
+    private static Load load(Headers trailers) {
+        LoadReport r = EngineApi.load(trailers);
+        return r == null ? Load.NONE : new Load(r.memoryShare(), r.waitingTokens(), r.held(), r.queued());
+    }
+
+    /** For calls whose answer tells nothing. */
+    private static class Unheard implements ClientCall.Listener {
+        @Override
+        public void message(ClientCall call, byte[] message, int wireBytes) {
+            call.credit(wireBytes);
+        }
+
+        @Override
+        public void closed(ClientCall call, Status status, Headers trailers, ClientCall.End end) {
+            // Told or not, nothing waits for it.
+        }
+    }
+
+    /** What the two kinds of attempts have in common: their end. */
+    private abstract class Answers implements ClientCall.Listener {
+        final AttemptId id;
+        EventLoop on;
+
+        Answers(AttemptId id) {
+            this.id = id;
+        }
+
+        abstract boolean done(long now, sorrelhoist.core.life.Router router, Load load);
+
+        @Override
+        public void closed(ClientCall call, Status status, Headers trailers, ClientCall.End end) {
+            if (end == ClientCall.End.CANCELLED) {
+                return; // the router gave it up, and knows
+            }
+            Load load = load(trailers);
+            loop.post(r -> {
+                Flight flight = flights.remove(id);
+                if (flight == null) {
+                    return;
+                }
+                boolean ok = end == ClientCall.End.STATUS && status.isOk();
+                if (!ok || !done(loop.now(), r, load)) {
+                    boolean noState = Outcomes.isMissingState(status, end);
+                    r.attemptLost(loop.now(), id, ok ? Outcome.ERROR : Outcomes.of(status, end), noState ? 1 : 0,
+                            load);
+                }
+            });
+        }
+
+        /** The engine sent what is no message: it may have run. */
+        void nonsense(ClientCall call) {
+            call.cancel();
+            loop.post(r -> {
+                if (flights.remove(id) != null) {
+                    r.attemptLost(loop.now(), id, Outcome.ERROR, 0, Load.NONE);
+                }
+            });
+        }
+    }
+
+    private final class Reading extends Answers {
+        private PrefillReply reply;
+
+        Reading(AttemptId id) {
+            super(id);
+        }
+
+        @Override
+        public void message(ClientCall call, byte[] message, int wireBytes) {
+            call.credit(wireBytes);
+            try {
+                reply = PrefillReply.parse(message);
+            } catch (ProtoException e) {
+                nonsense(call);
+            }
+        }
+
+        @Override
+        boolean done(long now, sorrelhoist.core.life.Router router, Load load) {
+            if (reply == null) {
+                return false;
+            }
+            router.readDone(now, id, reply.stateId(), reply.keptTokens(), load);
+            return true;
+        }
+    }
+
+    private final class Writing extends Answers {
+        private static final int CREDIT_AT = 8 << 10;
+        private final AtomicInteger owed = new AtomicInteger();
+        private Finish finish;
+
+        Writing(AttemptId id) {
+            super(id);
+        }
+
+        @Override
+        public void message(ClientCall call, byte[] message, int wireBytes) {
+            DecodeEvent event;
+            try {
+                event = DecodeEvent.parse(message);
+            } catch (ProtoException e) {
+                nonsense(call);
+                return;
+            }
+            if (finish != null) {
+                nonsense(call); // tokens after the end
+            } else if (event.finish() != null) {
+                call.credit(wireBytes);
+                finish = event.finish();
+            } else {
+                Runnable credit = () -> taken(call, wireBytes);
+                loop.post(r -> r.token(loop.now(), id, event.token().index(), event.token().text(), credit));
+            }
+        }
+
+        /** The client has room again. Credit is of use in large pieces only: small ones wait for each other. */
+        private void taken(ClientCall call, int wireBytes) {
+            if (owed.addAndGet(wireBytes) >= CREDIT_AT) {
+                on.execute(() -> call.credit(owed.getAndSet(0)));
+            }
+        }
+
+        @Override
+        boolean done(long now, sorrelhoist.core.life.Router router, Load load) {
+            if (finish == null) {
+                return false;
+            }
+            router.streamDone(now, id, finish.tokens(), finish.keptTokens(), load);
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/sorrelhoist/edge/InferenceApi.java
@@ -0,0 +1,262 @@
+package sorrelhoist.edge;
+
+import java.util.ArrayDeque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import sorrelhoist.core.life.Answer;
+import sorrelhoist.core.life.Call;
+import sorrelhoist.protocol.grpc.Code;
+import sorrelhoist.protocol.grpc.GrpcServer;
+import sorrelhoist.protocol.grpc.ServerCall;
+import sorrelhoist.protocol.grpc.Status;
+import sorrelhoist.protocol.hpack.Headers;
+import sorrelhoist.protocol.inference.InferRequest;
+import sorrelhoist.protocol.inference.InferResponse;
+import sorrelhoist.protocol.inference.ModelMessages;
+import sorrelhoist.protocol.inference.Parameter;
+import sorrelhoist.protocol.inference.Tensor;
+import sorrelhoist.protocol.protobuf.ProtoException;
+
+/** The Open Inference Protocol and gRPC's health protocol, as clients see them. */
+final class InferenceApi {
+    /** Bytes waiting for a client above which its engine gets no more credit. */
+    private static final int HIGH_MARK = 16 << 10;
+    private final EdgeSettings settings;
+    private final Requests requests;
+    private final RouterLoop loop;
+    private final BooleanSupplier serving;
+
+    InferenceApi(EdgeSettings settings, RouterLoop loop, BooleanSupplier serving) {
+        this.settings = settings;
+        this.requests = new Requests(settings);
+        this.loop = loop;
+        this.serving = serving;
+    }
+
+    GrpcServer server(int maxMessage) {
+        String s = ModelMessages.SERVICE;
+        return new GrpcServer(maxMessage)
+                .unary(s + "ServerLive", (call, m) -> answer(call, ModelMessages.yes(true)))
+                .unary(s + "ServerReady", (call, m) -> answer(call, ModelMessages.yes(serving.getAsBoolean())))
+                .unary(s + "ModelReady", (call, m) -> ofModel(call, m, ModelMessages.yes(serving.getAsBoolean())))
+                .unary(s + "ServerMetadata", (call, m) -> answer(call, ModelMessages.server("sorrelhoist", "0.2.0")))
+                .unary(s + "ModelMetadata", (call, m) -> ofModel(call, m, ModelMessages.model(settings.model())))
+                .on(s + "ModelInfer", call -> new Whole(call))
+                .on(s + "ModelStreamInfer", call -> new Streamed(call))
+                .unary(ModelMessages.HEALTH + "Check", this::health)
+                .on(ModelMessages.HEALTH + "Watch", call -> new Watch(call));
+    }
+
+    private static void answer(ServerCall call, byte[] message) {
+        call.send(message);
+        call.close(Status.OK, null);
+    }
+
+    private void ofModel(ServerCall call, byte[] request, byte[] message) {
+        try {
+            String name = ModelMessages.name(request);
+            if (name.equals(settings.model())) {
+                answer(call, message);
+            } else {
+                call.close(new Status(Code.NOT_FOUND, "no model \"" + name + "\": ask for \"" + settings.model()
+                        + "\""), null);
+            }
+        } catch (ProtoException e) {
+            call.close(new Status(Code.INVALID_ARGUMENT, e.getMessage()), null);
+        }
+    }
+
+    private int status() {
+        return serving.getAsBoolean() ? ModelMessages.SERVING : ModelMessages.NOT_SERVING;
+    }
+
+    private void health(ServerCall call, byte[] request) {
+        try {
+            String service = ModelMessages.name(request);
+            if (service.isEmpty() || ModelMessages.SERVICE.equals("/" + service + "/")) {
+                answer(call, ModelMessages.health(status()));
+            } else {
+                call.close(new Status(Code.NOT_FOUND, "no service \"" + service + "\""), null);
+            }
+        } catch (ProtoException e) {
+            call.close(new Status(Code.INVALID_ARGUMENT, e.getMessage()), null);
+        }
+    }
+
+    /** Tells the health now and whenever it changes; looks once a second, which is soon enough for a balancer. */
+    private final class Watch implements ServerCall.Listener, Runnable {
+        private final ServerCall call;
+        private int told = -1;
+
+        Watch(ServerCall call) {
+            this.call = call;
+        }
+
+        @Override
+        public void message(byte[] message) {
+            run();
+        }
+
+        @Override
+        public void run() {
+            if (call.isClosed()) {
+                return;
+            }
+            int now = status();
+            if (now != told) {
+                told = now;
+                call.send(ModelMessages.health(now));
+            }
+            call.executor().schedule(this, 1, java.util.concurrent.TimeUnit.SECONDS);
+        }
+    }
+
+    /** A client's call, on its network thread; what comes from the router hops here. */
+    private abstract class Asked implements ServerCall.Listener, Client {
+        final ServerCall call;
+        String id = "";
+        private boolean submitted;
+        private boolean over;
+
+        Asked(ServerCall call) {
+            this.call = call;
+        }
+
+        @Override
+        public void message(byte[] message) {
+            if (submitted) {
+                end(new Status(Code.INVALID_ARGUMENT, "one request a call: open another call for the next"), null);
+                loop.gone(this);
+                return;
+            }
+            submitted = true;
+            try {
+                InferRequest request = InferRequest.parse(message);
+                id = request.id();
+                Call asked = requests.call(request, call.timeoutMicros());
+                loop.submit(asked, this);
+            } catch (ProtoException e) {
+                end(new Status(Code.INVALID_ARGUMENT, "the request is no ModelInferRequest: " + e.getMessage()),
+                        null);
+            } catch (Requests.Bad e) {
+                end(e.status(), null);
+            }
+        }
+
+        @Override
+        public void halfClosed() {
+            if (!submitted) {
+                end(new Status(Code.INVALID_ARGUMENT, "the request's message is missing"), null);
+            }
+        }
+
+        @Override
+        public void cancelled(String why) {
+            if (!over) {
+                over = true;
+                loop.gone(this);
+            }
+        }
+
+        private void end(Status status, Headers trailers) {
+            if (!over) {
+                over = true;
+                call.close(status, trailers);
+            }
+        }
+
+        abstract void give(String text, Runnable credit);
+
+        abstract void whole(int tokens);
+
+        @Override
+        public void token(int index, String text, Runnable credit) {
+            call.executor().execute(() -> {
+                if (!over) {
+                    give(text, credit);
+                }
+            });
+        }
+
+        @Override
+        public void finish(Answer answer) {
+            call.executor().execute(() -> {
+                if (over) {
+                    return;
+                }
+                if (answer instanceof Answer.Served s) {
+                    whole(s.tokens());
+                    end(Status.OK, null);
+                } else if (answer instanceof Answer.Refused r) {
+                    Headers hint = r.backoffMicros() <= 0 ? null : new Headers().add("grpc-retry-pushback-ms",
+                            Long.toString((r.backoffMicros() + 999) / 1000));
+                    end(new Status(Code.RESOURCE_EXHAUSTED, "refused for now: a repeat is harmless"), hint);
+                } else if (answer instanceof Answer.Failed f) {
+                    end(new Status(f.late() ? Code.DEADLINE_EXCEEDED : Code.UNAVAILABLE, f.why()), null);
+                }
+            });
+        }
+
+        Map<String, Parameter> closing(int tokens) {
+            Map<String, Parameter> p = new LinkedHashMap<>();
+            p.put(InferResponse.FINAL, new Parameter(true));
+            p.put(InferResponse.TOKENS, new Parameter((long) tokens));
+            return p;
+        }
+    }
+
+    /** ModelStreamInfer: one message a token, and a last one that is marked. */
+    private final class Streamed extends Asked {
+        private final ArrayDeque<Runnable> owed = new ArrayDeque<>();
+
+        Streamed(ServerCall call) {
+            super(call);
+        }
+
+        @Override
+        void give(String text, Runnable credit) {
+            call.send(InferResponse.piece(settings.model(), id, text).streamedBytes());
+            if (call.pendingBytes() <= HIGH_MARK) {
+                credit.run();
+            } else {
+                // A slow reader: its engine gets no more credit, so what waits here stays bounded.
+                owed.add(credit);
+            }
+        }
+
+        @Override
+        public void writable() {
+            while (!owed.isEmpty()) {
+                owed.poll().run();
+            }
+        }
+
+        @Override
+        void whole(int tokens) {
+            call.send(new InferResponse(settings.model(), id, closing(tokens), List.of()).streamedBytes());
+        }
+    }
+
+    /** ModelInfer: the whole answer in one message. */
+    private final class Whole extends Asked {
+        private final StringBuilder text = new StringBuilder();
+
+        Whole(ServerCall call) {
+            super(call);
+        }
+
+        @Override
+        void give(String piece, Runnable credit) {
+            text.append(piece);
+            credit.run();
+        }
+
+        @Override
+        void whole(int tokens) {
+            call.send(new InferResponse(settings.model(), id, closing(tokens),
+                    List.of(Tensor.text(InferResponse.TEXT_OUTPUT, text.toString()))).bytes());
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
@@ -0,0 +1,139 @@
+package sorrelhoist.edge;
+
+import io.netty.util.concurrent.DefaultEventExecutor;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sorrelhoist.Routing.ListForm;
+import sorrelhoist.Routing.Server;
+import sorrelhoist.core.life.Call;
+import sorrelhoist.core.life.Order;
+import sorrelhoist.core.life.Router;
+import sorrelhoist.core.life.RouterSettings;
+
+/**
+ * The one thread on which a router decides, fed by a queue. Network threads hand in what they parsed; orders go back
+ * to them. It decides nothing itself.
+ */
+final class RouterLoop {
+    private static final Logger LOG = LoggerFactory.getLogger(RouterLoop.class);
+    private static final long STOP_MILLIS = 2000;
+
+    private final DefaultEventExecutor thread =
+            new DefaultEventExecutor(new DefaultThreadFactory("router", true));
+    private final Clock clock = new Clock();
+    private final Router router;
+    private final Map<Long, Client> clients = new HashMap<>();
+    private final Map<Client, Long> numbers = new HashMap<>();
+    private Consumer<Order> engines = o -> { };
+    private Client arriving;
+    private long armedFor = Long.MAX_VALUE;
+    private volatile int open;
+    private volatile boolean ready;
+
+    RouterLoop(RouterSettings settings) {
+        this.router = new Router(settings, this::carry);
+    }
+
+    /** Sets who takes the orders that are not for clients; once, before anything else. */
+    void engines(Consumer<Order> carrier) {
+        engines = carrier;
+    }
+
+    long now() {
+        return clock.now();
+    }
+
+    /** Requests whose clients have no final answer yet, a moment ago. */
+    int open() {
+        return open;
+    }
+
+    /** Whether a roster was heard of. */
+    boolean ready() {
+        return ready;
+    }
+
+    /** Runs something on the router's thread, with what is due before it. */
+    void post(Consumer<Router> what) {
+        thread.execute(() -> {
+            try {
+                router.advance(clock.now());
+                what.accept(router);
+            } catch (RuntimeException e) {
+                // One event that cannot be taken must not end the thread that answers all the others.
+                LOG.atError().setCause(e).addKeyValue("event", "router_fault").log("an event could not be taken");
+            }
+            open = router.open();
+            arm();
+        });
+    }
+
+    void submit(Call call, Client client) {
+        post(r -> {
+            arriving = client;
+            long number = r.arrived(clock.now(), call);
+            if (arriving != null) {
+                clients.put(number, client);
+                numbers.put(client, number);
+                arriving = null;
+            }
+        });
+    }
+
+    void gone(Client client) {
+        post(r -> {
+            Long number = numbers.remove(client);
+            if (number != null) {
+                clients.remove(number);
+                r.clientGone(clock.now(), number);
+            }
+        });
+    }
+
+    void members(ListForm form, List<Server> servers, long now) {
+        router.members(now, form, servers);
+        ready = true;
+    }
+
+    private void arm() {
+        long next = router.nextAlarm();
+        if (next < armedFor) {
+            armedFor = next;
+            thread.schedule(() -> {
+                armedFor = Long.MAX_VALUE;
+                post(r -> { });
+            }, Math.max(0, next - clock.now()), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void carry(Order order) {
+        if (order instanceof Order.Deliver o) {
+            Client client = clients.get(o.client());
+            if (client != null) {
+                client.token(o.index(), o.text(), (Runnable) o.ticket());
+            }
+        } else if (order instanceof Order.Finish o) {
+            Client client = clients.remove(o.client());
+            if (client == null) {
+                client = arriving;
+                arriving = null;
+            }
+            numbers.remove(client);
+            client.finish(o.answer());
+        } else if (order instanceof Order.Log o) {
+            LOG.atInfo().addKeyValue("event", "decide").addKeyValue("request", o.request()).log(o.text());
+        } else {
+            engines.accept(order);
+        }
+    }
+
+    void stop() {
+        thread.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/sorrelhoist/lab/load/Ask.java
@@ -0,0 +1,39 @@
+package sorrelhoist.lab.load;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import sorrelhoist.protocol.inference.InferRequest;
+import sorrelhoist.protocol.inference.Parameter;
+import sorrelhoist.protocol.inference.Tensor;
+
+/**
+ * One request of a client.
+ *
+ * @param id the client's name for it
+ * @param cls its class's name, or null for the default
+ * @param session the conversation, or null
+ * @param prefix the shared beginning's name, or null
+ * @param prefixTokens tokens of the shared beginning
+ * @param prompt the text
+ * @param maxTokens the most that may be answered; 0 for the default
+ * @param timeoutMicros until the client gives up
+ */
+public record Ask(String id, String cls, String session, String prefix, int prefixTokens, String prompt,
+        int maxTokens, long timeoutMicros) {
+    InferRequest request(String model) {
+        Map<String, Parameter> p = new LinkedHashMap<>();
+        put(p, "class", cls);
+        put(p, "session", session);
+        put(p, "prefix", prefix);
+        put(p, "prefix_tokens", prefix == null ? null : (Object) (long) prefixTokens);
+        put(p, "max_tokens", maxTokens == 0 ? null : (Object) (long) maxTokens);
+        return new InferRequest(model, "", id, p, List.of(Tensor.text(InferRequest.TEXT_INPUT, prompt)), List.of());
+    }
+
+    private static void put(Map<String, Parameter> p, String name, Object value) {
+        if (value != null) {
+            p.put(name, new Parameter(value));
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/sorrelhoist/lab/load/InferClient.java
@@ -0,0 +1,162 @@
+package sorrelhoist.lab.load;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import sorrelhoist.protocol.grpc.ClientCall;
+import sorrelhoist.protocol.grpc.Code;
+import sorrelhoist.protocol.grpc.GrpcChannel;
+import sorrelhoist.protocol.grpc.Status;
+import sorrelhoist.protocol.grpc.Timeouts;
+import sorrelhoist.protocol.hpack.Headers;
+import sorrelhoist.protocol.http2.Http2Limits;
+import sorrelhoist.protocol.inference.InferResponse;
+import sorrelhoist.protocol.inference.ModelMessages;
+import sorrelhoist.protocol.protobuf.ProtoException;
+
+/** A client of an edge. Everything runs on one event loop. */
+public final class InferClient {
+    /**
+     * How a request ended, as its client saw it.
+     *
+     * @param status the edge's status, or what stands for it
+     * @param end how the call ended
+     * @param tokens pieces of text that came
+     * @param text the answer
+     * @param isFinal whether a response marked as the last came
+     * @param pushbackMillis when to come back; 0 for no advice
+     * @param firstMicros until the first piece; -1 for none
+     * @param tookMicros until the end
+     */
+    public record Result(Status status, ClientCall.End end, int tokens, String text, boolean isFinal,
+            long pushbackMillis, long firstMicros, long tookMicros) {
+        /** {@return whether the answer came whole} */
+        public boolean served() {
+            return status.isOk() && isFinal;
+        }
+
+        /** {@return whether it was refused, so that a repeat is harmless} */
+        public boolean refused() {
+            return status.code() == Code.RESOURCE_EXHAUSTED;
+        }
+    }
+
+    private static final int MAX_MESSAGE = 4 << 20;
+    private static final long GRACE = 500_000;
+    private final GrpcChannel channel;
+    private final String model;
+
+    /**
+     * Makes a client.
+     *
+     * @param loop where it runs
+     * @param address the edge's, 127.0.0.1:PORT
+     * @param model the model's name
+     */
+    public InferClient(EventLoop loop, String address, String model) {
+        this.channel = new GrpcChannel(loop, address,
+                new GrpcChannel.Options(8, 1_000_000, 60_000_000, MAX_MESSAGE, Http2Limits.CLIENT));
+        this.model = model;
+    }
+
+    /**
+     * Asks, and follows the answer.
+     *
+     * @param ask what
+     * @param piece told of each piece of text and its place, on the event loop
+     * @return how it ended, and a handle that cancels it when cancelled
+     */
+    public CompletableFuture<Result> ask(Ask ask, BiConsumer<Integer, String> piece) {
+        Answer answer = new Answer(piece);
+        Headers metadata = ask.timeoutMicros() > 0
+                ? new Headers().add("grpc-timeout", Timeouts.format(ask.timeoutMicros())) : null;
+        ClientCall call = new ClientCall(ModelMessages.SERVICE + "ModelStreamInfer", metadata, MAX_MESSAGE, answer);
+        call.sendLast(ask.request(model).bytes());
+        channel.loop().execute(() -> {
+            channel.start(call);
+            if (ask.timeoutMicros() > 0) {
+                // The client's own deadline: an edge that keeps it is never caught by this.
+                channel.loop().schedule(call::cancel, ask.timeoutMicros() + GRACE, TimeUnit.MICROSECONDS);
+            }
+        });
+        answer.result.whenComplete((r, e) -> {
+            if (answer.result.isCancelled()) {
+                channel.loop().execute(call::cancel);
+            }
+        });
+        return answer.result;
+    }
+
+    /** Asks whether the edge is ready. */
+    public CompletableFuture<Boolean> ready() {
+        CompletableFuture<Boolean> result = new CompletableFuture<>();
+        ClientCall call = new ClientCall(ModelMessages.SERVICE + "ServerReady", null, MAX_MESSAGE,
+                new ClientCall.Listener() {
+                    private boolean yes;
+
+                    @Override
+                    public void message(ClientCall c, byte[] message, int wireBytes) {
+                        yes = message.length > 0;
+                    }
+
+                    @Override
+                    public void closed(ClientCall c, Status status, Headers trailers, ClientCall.End end) {
+                        result.complete(yes && status.isOk());
+                    }
+                });
+        call.sendLast(new byte[0]);
+        channel.loop().execute(() -> channel.start(call));
+        return result;
+    }
+
+    /** Closes its connections. */
+    public void close() {
+        channel.loop().execute(channel::shut);
+    }
+
+    private static final class Answer implements ClientCall.Listener {
+        final CompletableFuture<Result> result = new CompletableFuture<>();
+        private final BiConsumer<Integer, String> piece;
+        private final StringBuilder text = new StringBuilder();
+        private final long start = System.nanoTime();
+        private int tokens;
+        private long first = -1;
+        private boolean isFinal;
+
+        Answer(BiConsumer<Integer, String> piece) {
+            this.piece = piece;
+        }
+
+        private long since() {
+            return (System.nanoTime() - start) / 1000;
+        }
+
+        @Override
+        public void message(ClientCall call, byte[] message, int wireBytes) {
+            call.credit(wireBytes);
+            try {
+                InferResponse r = InferResponse.parseStreamed(message);
+                isFinal |= r.isFinal();
+                String part = r.text();
+                if (!part.isEmpty()) {
+                    first = first < 0 ? since() : first;
+                    text.append(part);
+                    piece.accept(tokens++, part);
+                }
+            } catch (ProtoException e) {
+                call.cancel();
+            }
+        }
+
+        @Override
+        public void closed(ClientCall call, Status status, Headers trailers, ClientCall.End end) {
+            long pushback = 0;
+            String hint = trailers.get("grpc-retry-pushback-ms");
+            if (hint != null && hint.matches("[0-9]{1,9}")) {
+                pushback = Long.parseLong(hint);
+            }
+            result.complete(new Result(status, end, tokens, text.toString(), isFinal, pushback, first, since()));
+        }
+    }
+}
--- /dev/null
+++ b/planner/src/main/java/sorrelhoist/planner/EdgeSession.java
@@ -0,0 +1,82 @@
+package sorrelhoist.planner;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sorrelhoist.protocol.grpc.Code;
+import sorrelhoist.protocol.grpc.ServerCall;
+import sorrelhoist.protocol.grpc.Status;
+import sorrelhoist.protocol.plan.EdgeMessage;
+import sorrelhoist.protocol.plan.PlanEvent;
+import sorrelhoist.protocol.protobuf.ProtoException;
+
+/** One edge's stream. */
+final class EdgeSession implements ServerCall.Listener {
+    private static final Logger LOG = LoggerFactory.getLogger(EdgeSession.class);
+    private static final int MAX_BEHIND = 4 << 20;
+    private final Planner planner;
+    private final ServerCall call;
+    private String edge;
+
+    EdgeSession(Planner planner, ServerCall call) {
+        this.planner = planner;
+        this.call = call;
+    }
+
+    String edge() {
+        return edge;
+    }
+
+    /** Sends an event. An edge that does not read is cut off: it comes back and gets the whole. */
+    void send(PlanEvent event) {
+        if (call.pendingBytes() > MAX_BEHIND) {
+            close(new Status(Code.RESOURCE_EXHAUSTED, "the edge does not read its plan"));
+        } else {
+            call.send(event.bytes());
+        }
+    }
+
+    void close(Status status) {
+        call.close(status, null);
+        gone(status.message());
+    }
+
+    @Override
+    public void message(byte[] bytes) {
+        try {
+            EdgeMessage message = EdgeMessage.parse(bytes);
+            if (message instanceof EdgeMessage.Greeting g) {
+                if (edge == null && !g.hello().edge().isEmpty()) {
+                    edge = g.hello().edge();
+                    planner.attached(this);
+                }
+            } else if (edge == null) {
+                close(new Status(Code.INVALID_ARGUMENT, "the first message has to be a hello with the edge's name"));
+            } else if (message instanceof EdgeMessage.ProbeAsk p) {
+                planner.probe(this, p.engine());
+            } else if (message instanceof EdgeMessage.Tell t) {
+                planner.tell(this, t);
+            } else if (message instanceof EdgeMessage.FetchAsk) {
+                planner.sendRoster(this);
+            }
+        } catch (ProtoException e) {
+            close(new Status(Code.INVALID_ARGUMENT, e.getMessage()));
+        }
+    }
+
+    @Override
+    public void halfClosed() {
+        close(Status.OK);
+    }
+
+    @Override
+    public void cancelled(String why) {
+        gone(why);
+    }
+
+    private void gone(String why) {
+        if (edge != null) {
+            LOG.atInfo().addKeyValue("event", "edge_left").addKeyValue("edge", edge).log(why);
+            planner.left(this);
+        }
+    }
+}
--- a/protocol/src/main/java/sorrelhoist/protocol/engine/FetchReply.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/engine/FetchReply.java
@@ -9,8 +9,9 @@
  *
  * @param promptTokens tokens in the prompt
  * @param digest of the prompt
+ * @param rack where the reader stands: zone/rack
  */
-public record FetchReply(int promptTokens, long digest) {
+public record FetchReply(int promptTokens, long digest, String rack) {
     /** {@return the message in these bytes} */
     public static FetchReply parse(byte[] bytes) throws ProtoException {
         return read(new ProtoReader(bytes));
@@ -19,18 +20,20 @@
     static FetchReply read(ProtoReader in) throws ProtoException {
         int promptTokens = 0;
         long digest = 0;
+        String rack = "";
         for (int f = in.next(); f != 0; f = in.next()) {
             switch (f) {
                 case 1 -> promptTokens = in.count();
                 case 2 -> digest = in.integer();
+                case 3 -> rack = in.text();
                 default -> in.skip();
             }
         }
-        return new FetchReply(promptTokens, digest);
+        return new FetchReply(promptTokens, digest, rack);
     }
 
     ProtoWriter write() {
-        return new ProtoWriter().integer(1, promptTokens).integer(2, digest);
+        return new ProtoWriter().integer(1, promptTokens).integer(2, digest).text(3, rack);
     }
 
     /** {@return its bytes} */
--- /dev/null
+++ b/protocol/src/main/java/sorrelhoist/protocol/http1/HttpClient.java
@@ -0,0 +1,102 @@
+package sorrelhoist.protocol.http1;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import sorrelhoist.protocol.net.Net;
+
+/** Calls an HTTP/1.1 server: one connection a request, which is enough for a registry asked once a second. */
+public final class HttpClient {
+    private static final int MAX_BODY = 16 << 20;
+    private final EventLoop loop;
+    private final String address;
+
+    /**
+     * Makes a client.
+     *
+     * @param loop where it runs, and completes what it returns
+     * @param address 127.0.0.1:PORT
+     */
+    public HttpClient(EventLoop loop, String address) {
+        this.loop = loop;
+        this.address = address;
+        Net.parse(address);
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param request the request
+     * @param timeoutMicros until it has failed
+     * @return the response, or why there is none
+     */
+    public CompletableFuture<HttpMessage> send(HttpMessage request, long timeoutMicros) {
+        CompletableFuture<HttpMessage> result = new CompletableFuture<>();
+        var attempt = Net.connect(loop, address, timeoutMicros, new Handler(request, result));
+        attempt.addListener(f -> {
+            if (!f.isSuccess()) {
+                result.completeExceptionally(f.cause());
+            }
+        });
+        loop.schedule(() -> {
+            if (result.completeExceptionally(new TimeoutException("no answer from " + address + " in "
+                    + timeoutMicros / 1000 + " ms"))) {
+                attempt.channel().close();
+            }
+        }, timeoutMicros, TimeUnit.MICROSECONDS);
+        return result;
+    }
+
+    private final class Handler extends ChannelInboundHandlerAdapter {
+        private final HttpMessage request;
+        private final CompletableFuture<HttpMessage> result;
+        private final HttpParser parser = new HttpParser(false, MAX_BODY);
+
+        Handler(HttpMessage request, CompletableFuture<HttpMessage> result) {
+            this.request = request;
+            this.result = result;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            ctx.writeAndFlush(HttpWriter.write(ctx.alloc(), request, address, true));
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            ByteBuf in = (ByteBuf) message;
+            try {
+                HttpMessage response = parser.next(in);
+                if (response != null && response.status() >= 200) {
+                    result.complete(response);
+                    ctx.close();
+                }
+            } catch (HttpParser.BadMessage e) {
+                result.completeExceptionally(e);
+                ctx.close();
+            } finally {
+                in.release();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            HttpMessage last = parser.atClose();
+            if (last != null) {
+                result.complete(last);
+            }
+            result.completeExceptionally(new IOException("the connection to " + address + " ended early"));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            result.completeExceptionally(cause);
+            ctx.close();
+        }
+    }
+}
