--- /dev/null
+++ b/app/src/main/java/sorrelhoist/app/Main.java
@@ -0,0 +1,48 @@
+package sorrelhoist.app;
+
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import sorrelhoist.app.command.ConfigCommand;
+import sorrelhoist.app.command.FleetCommands;
+import sorrelhoist.app.command.Programs;
+import sorrelhoist.wire.WireHost;
+
+/** The command line. */
+@Command(name = "sorrelhoist", mixinStandardHelpOptions = true, version = "sorrelhoist 0.2.0",
+        description = "Routes requests for language models that are read by one pool of engines and answered by another.",
+        subcommands = {Programs.EdgeProgram.class, Programs.PlannerProgram.class, Programs.EngineProgram.class,
+            Programs.RegistryProgram.class, ConfigCommand.class, FleetCommands.Demo.class, FleetCommands.Up.class,
+            FleetCommands.AskCommand.class, FleetCommands.DayCommand.class, Main.Wirehost.class})
+public final class Main {
+    private Main() {
+    }
+
+    /** The bench's wire. */
+    @Command(name = "wirehost", description = "Serves the simulator's wire on standard input and output.")
+    static final class Wirehost implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            return new WireHost().run(System.in, System.out, System.err);
+        }
+    }
+
+    /**
+     * Runs a command and exits with its status.
+     *
+     * @param args sub-command and options
+     */
+    public static void main(String[] args) {
+        CommandLine line = new CommandLine(new Main());
+        line.setExecutionExceptionHandler((e, command, parsed) -> {
+            System.err.println(command.getCommandName() + ": " + e.getMessage());
+            return 1;
+        });
+        System.exit(args.length == 0 ? usage(line) : line.execute(args));
+    }
+
+    private static int usage(CommandLine line) {
+        line.usage(System.err);
+        return 2;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/sorrelhoist/lab/load/DayLoad.java
@@ -0,0 +1,164 @@
+package sorrelhoist.lab.load;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import sorrelhoist.lab.day.Day;
+import sorrelhoist.protocol.grpc.ClientCall;
+
+/**
+ * Sends a day's requests when they are due, whether or not answers come back: a slow router does not slow the load
+ * down, so its delay shows. All is drawn ahead from the day's seed.
+ */
+public final class DayLoad {
+    /** An edge, for the load to send to. */
+    public interface Front {
+        /** {@return the client of the edge with this number, from 0} */
+        InferClient edge(int number);
+    }
+
+    /**
+     * One request, drawn ahead.
+     *
+     * @param at when, microseconds from the start
+     * @param cls index of its load
+     * @param ask the request
+     * @param edge which edge it goes to
+     * @param leavesAfter when its client leaves, microseconds after it; 0 for never
+     */
+    public record Planned(long at, int cls, Ask ask, int edge, long leavesAfter) {
+    }
+
+    private static final String WORDS = "please tell me where the pallet for dock seven went and when the truck comes "
+            + "back so that we can plan the loading of the next one before noon today thank you very much indeed ";
+    private static final int BYTES_PER_TOKEN = 4;
+
+    private DayLoad() {
+    }
+
+    /** {@return all requests of a day, by time} */
+    public static List<Planned> plan(Day day, int edges) {
+        SplittableRandom random = new SplittableRandom(day.seed());
+        List<Planned> all = new ArrayList<>();
+        for (int c = 0; c < day.loads().size(); c++) {
+            Day.Load load = day.loads().get(c);
+            double most = load.rate() * 4;
+            long t = 0;
+            for (int n = 0; t < day.length(); n++) {
+                t += (long) (-Math.log(1 - random.nextDouble()) / most * 1e6);
+                if (random.nextDouble() * most < load.rate() * burst(day, t) && t < day.length()) {
+                    all.add(one(day, load, c, n, t, edges, random));
+                }
+            }
+        }
+        all.sort(Comparator.comparingLong(Planned::at));
+        return all;
+    }
+
+    private static double burst(Day day, long t) {
+        double factor = 1;
+        for (Day.Event e : day.events()) {
+            if (e.deed().equals("burst") && t >= e.at() && t < e.at() + e.span()) {
+                factor = Math.min(4, factor * e.amount());
+            }
+        }
+        return factor;
+    }
+
+    private static Planned one(Day day, Day.Load load, int cls, int n, long t, int edges, SplittableRandom random) {
+        int session = random.nextInt(load.sessions());
+        int prefix = load.prefixes() == 0 ? -1 : random.nextInt(load.prefixes());
+        StringBuilder prompt = new StringBuilder();
+        if (prefix >= 0) {
+            fill(prompt, "guide " + load.cls() + " " + prefix + " ", load.prefixTokens());
+        }
+        int own = random.nextInt(load.promptLow(), load.promptHigh() + 1);
+        fill(prompt, "session " + session + " question " + n + " ", own + (prefix < 0 ? 0 : load.prefixTokens()));
+        int answer = random.nextInt(load.answerLow(), load.answerHigh() + 1);
+        long leaves = random.nextDouble() < load.cancels() ? 1 + random.nextLong(Math.max(1, load.timeout() / 4)) : 0;
+        String id = "d" + day.seed() + "-" + load.cls() + "-" + n;
+        return new Planned(t, cls, new Ask(id, load.cls(), load.cls() + "/" + session,
+                prefix < 0 ? null : load.cls() + "/p" + prefix, load.prefixTokens(), prompt.toString(), answer,
+                load.timeout()), random.nextInt(edges), leaves);
+    }
+
+    private static void fill(StringBuilder text, String begin, int tokens) {
+        text.append(begin);
+        int at = begin.length();
+        while (text.length() < tokens * BYTES_PER_TOKEN) {
+            text.append(WORDS.charAt(at++ % WORDS.length()));
+        }
+    }
+
+    /**
+     * Sends the requests. Blocks until the last is answered or given up.
+     *
+     * @param plan what to send
+     * @param front the edges
+     * @param trace takes what the clients see
+     * @param loops event loops of the clients
+     */
+    public static void run(List<Planned> plan, Front front, ClientTrace trace, EventLoopGroup loops) {
+        ScheduledExecutorService timer = Executors.newScheduledThreadPool(2, r -> {
+            Thread t = new Thread(r, "load");
+            t.setDaemon(true);
+            return t;
+        });
+        AtomicInteger left = new AtomicInteger(plan.size());
+        CompletableFuture<Void> all = new CompletableFuture<>();
+        if (plan.isEmpty()) {
+            all.complete(null);
+        }
+        long start = System.nanoTime();
+        for (Planned p : plan) {
+            long wait = TimeUnit.MICROSECONDS.toNanos(p.at()) - (System.nanoTime() - start);
+            timer.schedule(() -> {
+                send(p, front, trace, timer).whenComplete((r, e) -> {
+                    if (left.decrementAndGet() == 0) {
+                        all.complete(null);
+                    }
+                });
+            }, Math.max(0, wait), TimeUnit.NANOSECONDS);
+        }
+        all.join();
+        timer.shutdownNow();
+    }
+
+    private static CompletableFuture<?> send(Planned p, Front front, ClientTrace trace,
+            ScheduledExecutorService timer) {
+        String id = p.ask().id();
+        long sent = ClientTrace.now();
+        trace.at(sent, "sent", "req", id, "cls", p.cls(), "edge", "edge-" + (p.edge() + 1), "timeout",
+                p.ask().timeoutMicros());
+        var answer = front.edge(p.edge()).ask(p.ask(), (i, t) -> { });
+        boolean[] left = {false};
+        if (p.leavesAfter() > 0) {
+            timer.schedule(() -> {
+                if (!answer.isDone()) {
+                    left[0] = true;
+                    answer.cancel(false);
+                }
+            }, p.leavesAfter(), TimeUnit.MICROSECONDS);
+        }
+        return answer.handle((r, e) -> {
+            if (r == null) {
+                trace.line("final", "req", id, "status", "CANCELLED", "cancelled", true);
+            } else {
+                String status = r.end() == ClientCall.End.STATUS ? r.served() || !r.status().isOk()
+                        ? r.status().code().toString() : "UNFINISHED" : r.end() == ClientCall.End.CANCELLED ? "GAVE_UP"
+                        : r.end() == ClientCall.End.BROKEN ? "BROKEN" : "NOT_SENT";
+                trace.line("final", "req", id, "status", status, "cancelled", false, "tokens", r.declared(), "pieces",
+                        r.tokens(), "text", r.text(), "first", r.firstMicros(), "took", r.tookMicros(), "pushback",
+                        r.pushbackMillis(), "message", r.status().message());
+            }
+            return null;
+        });
+    }
+}
--- a/lab/src/main/java/sorrelhoist/lab/load/InferClient.java
+++ b/lab/src/main/java/sorrelhoist/lab/load/InferClient.java
@@ -25,12 +25,13 @@
      * @param tokens pieces of text that came
      * @param text the answer
      * @param isFinal whether a response marked as the last came
+     * @param declared tokens that the last response says the answer has; -1 without one
      * @param pushbackMillis when to come back; 0 for no advice
      * @param firstMicros until the first piece; -1 for none
      * @param tookMicros until the end
      */
     public record Result(Status status, ClientCall.End end, int tokens, String text, boolean isFinal,
-            long pushbackMillis, long firstMicros, long tookMicros) {
+            long declared, long pushbackMillis, long firstMicros, long tookMicros) {
         /** {@return whether the answer came whole} */
         public boolean served() {
             return status.isOk() && isFinal;
@@ -123,6 +124,7 @@
         private int tokens;
         private long first = -1;
         private boolean isFinal;
+        private long declared = -1;
 
         Answer(BiConsumer<Integer, String> piece) {
             this.piece = piece;
@@ -137,7 +139,11 @@
             call.credit(wireBytes);
             try {
                 InferResponse r = InferResponse.parseStreamed(message);
-                isFinal |= r.isFinal();
+                if (r.isFinal()) {
+                    isFinal = true;
+                    var count = r.parameters().get(InferResponse.TOKENS);
+                    declared = count != null && count.value() instanceof Long n ? n : -1;
+                }
                 String part = r.text();
                 if (!part.isEmpty()) {
                     first = first < 0 ? since() : first;
@@ -156,7 +162,7 @@
             if (hint != null && hint.matches("[0-9]{1,9}")) {
                 pushback = Long.parseLong(hint);
             }
-            result.complete(new Result(status, end, tokens, text.toString(), isFinal, pushback, first, since()));
+            result.complete(new Result(status, end, tokens, text.toString(), isFinal, declared, pushback, first, since()));
         }
     }
 }
--- /dev/null
+++ b/lab/src/main/java/sorrelhoist/lab/run/FleetFiles.java
@@ -0,0 +1,72 @@
+package sorrelhoist.lab.run;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import sorrelhoist.lab.day.Day;
+
+/**
+ * Writes the settings of a day's processes: each a small Jsonnet file over the template of its kind, as an operator
+ * would write them.
+ */
+final class FleetFiles {
+    private final ObjectMapper json = new ObjectMapper();
+    private final Path folder;
+    private final Day day;
+
+    FleetFiles(Path folder, Day day) {
+        this.folder = folder;
+        this.day = day;
+    }
+
+    Path registry(int port) throws IOException {
+        ObjectNode n = json.createObjectNode();
+        n.put("port", port).put("trace", trace("registry"));
+        return write("registry", "registry", n);
+    }
+
+    Path planner(int port, String registry) throws IOException {
+        ObjectNode n = json.createObjectNode();
+        n.put("port", port).put("registry", registry).put("edges", edges());
+        return write("planner", "planner", n);
+    }
+
+    Path edge(String name, String zone, int port, String planner) throws IOException {
+        ObjectNode n = json.createObjectNode();
+        n.put("name", name).put("zone", zone).put("port", port).put("planner", planner).put("routers", edges());
+        ArrayNode zones = n.putArray("zones");
+        day.zones().forEach(z -> zones.add(z.name()));
+        return write(name, "edge", n);
+    }
+
+    Path engine(String id, String role, String zone, String rack, String registry, boolean warm, long seed)
+            throws IOException {
+        ObjectNode n = json.createObjectNode();
+        n.put("id", id).put("role", role).put("kind", role.equals("read") ? "prefill" : "decode").put("zone", zone)
+                .put("rack", rack).put("registry", registry).put("warm", warm).put("trace", trace(id))
+                .put("seed", seed);
+        return write(id + (warm ? "" : "-cold"), "engine", n);
+    }
+
+    private int edges() {
+        return day.zones().stream().mapToInt(Day.Zone::edges).sum();
+    }
+
+    Path traces() throws IOException {
+        return Files.createDirectories(folder.resolve("trace"));
+    }
+
+    private String trace(String name) throws IOException {
+        return traces().resolve(name + ".jsonl").toString();
+    }
+
+    private Path write(String name, String template, ObjectNode own) throws IOException {
+        Path file = folder.resolve(name + ".jsonnet");
+        Files.write(file, List.of("(import '" + template + ".libsonnet') + " + own.toPrettyString()));
+        return file;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/sorrelhoist/lab/run/ProcessFleet.java
@@ -0,0 +1,216 @@
+package sorrelhoist.lab.run;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import sorrelhoist.lab.day.Day;
+import sorrelhoist.lab.load.InferClient;
+import sorrelhoist.protocol.net.Net;
+
+/** A day's fleet as processes on this machine: registry, planner, engines and edges, each on a port of its own. */
+public final class ProcessFleet implements AutoCloseable {
+    /** The model that the templates name. */
+    public static final String MODEL = "sorrel";
+    private static final long READY_MILLIS = 30_000;
+
+    /**
+     * An engine of the fleet.
+     *
+     * @param id its name
+     * @param role read or write
+     * @param zone its zone
+     * @param rack its rack
+     */
+    public record EngineSpot(String id, String role, String zone, String rack) {
+    }
+
+    private final Day day;
+    private final FleetFiles files;
+    private final List<String> command;
+    private final Path folder;
+    private final int portBase;
+    private final EventLoopGroup loops = Net.loops(2, "lab");
+    private final Map<String, Proc> procs = new LinkedHashMap<>();
+    private final List<EngineSpot> engines = new ArrayList<>();
+    private final List<String> edges = new ArrayList<>();
+    private final Map<String, String> zoneOf = new LinkedHashMap<>();
+    private final Map<Integer, InferClient> clients = new ConcurrentHashMap<>();
+
+    /**
+     * Makes a fleet; {@link #start} starts it.
+     *
+     * @param day whose fleet
+     * @param folder for settings, logs and traces; the templates lie there already
+     * @param command that starts one process, without its sub-command
+     * @param portBase first port of the edges, then planner and registry; 0 for ports that the system picks
+     */
+    public ProcessFleet(Day day, Path folder, List<String> command, int portBase) {
+        this.day = day;
+        this.folder = folder;
+        this.command = command;
+        this.portBase = portBase;
+        this.files = new FleetFiles(folder, day);
+        for (Day.Zone z : day.zones()) {
+            for (Day.Rack r : z.racks()) {
+                for (int i = 1; i <= r.readers(); i++) {
+                    engines.add(new EngineSpot(r.name() + "-r" + i, "read", z.name(), r.name()));
+                }
+                for (int i = 1; i <= r.writers(); i++) {
+                    engines.add(new EngineSpot(r.name() + "-w" + i, "write", z.name(), r.name()));
+                }
+            }
+            for (int i = 0; i < z.edges(); i++) {
+                String name = "edge-" + (edges.size() + 1);
+                edges.add(name);
+                zoneOf.put(name, z.name());
+            }
+        }
+    }
+
+    /** {@return the engines} */
+    public List<EngineSpot> engines() {
+        return engines;
+    }
+
+    /** {@return how many edges there are} */
+    public int edgeCount() {
+        return edges.size();
+    }
+
+    /** {@return where the stand-ins' traces lie} */
+    public Path traces() throws IOException {
+        return files.traces();
+    }
+
+    /** {@return the event loops of this fleet's clients} */
+    public EventLoopGroup loops() {
+        return loops;
+    }
+
+    private Proc proc(String name) {
+        List<String> with = new ArrayList<>(command);
+        with.addAll(1, name.startsWith("edge") ? List.of("-Xmx512m") : List.of("-Xmx160m", "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1"));
+        return procs.computeIfAbsent(name, n -> new Proc(n, with, folder));
+    }
+
+    private int port(int offset) {
+        return portBase == 0 ? 0 : portBase + offset;
+    }
+
+    /** Starts everything, and waits until every edge answers a request. */
+    public void start() throws IOException {
+        files.traces();
+        String registry = Proc.await(proc("registry").start("registry", files.registry(port(edges.size() + 1))),
+                "registry");
+        Map<String, CompletableFuture<String>> waiting = new LinkedHashMap<>();
+        waiting.put("planner", proc("planner").start("planner", files.planner(port(edges.size()), registry)));
+        long seed = day.seed();
+        for (EngineSpot e : engines) {
+            waiting.put(e.id(), proc(e.id()).start("engine",
+                    files.engine(e.id(), e.role(), e.zone(), e.rack(), registry, true, seed++)));
+        }
+        String planner = Proc.await(waiting.get("planner"), "planner");
+        for (int i = 0; i < edges.size(); i++) {
+            waiting.put(edges.get(i), startEdge(i, port(i), planner));
+        }
+        for (Map.Entry<String, CompletableFuture<String>> w : waiting.entrySet()) {
+            Proc.await(w.getValue(), w.getKey());
+        }
+        awaitServing();
+    }
+
+    private CompletableFuture<String> startEdge(int number, int port, String planner) throws IOException {
+        String name = edges.get(number);
+        return proc(name).start("edge", files.edge(name, zoneOf.get(name), port, planner));
+    }
+
+    /** The edges are ready when they know of every engine; a short answer from each shows that the path is whole. */
+    private void awaitServing() throws IOException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MILLIS);
+        for (int i = 0; i < edges.size(); i++) {
+            InferClient client = edge(i);
+            while (!serves(client)) {
+                if (System.nanoTime() > end) {
+                    throw new IOException(edges.get(i) + " served nothing within " + READY_MILLIS + " ms: see "
+                            + folder.resolve(edges.get(i) + ".log"));
+                }
+            }
+        }
+    }
+
+    private static boolean serves(InferClient client) {
+        try {
+            return client.ask(new sorrelhoist.lab.load.Ask("", null, null, null, 0, "Are you there?", 2, 2_000_000),
+                    (i, t) -> { }).get(3, TimeUnit.SECONDS).served();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
+            return false;
+        }
+    }
+
+    /** {@return a client of an edge, numbered from 0} */
+    public InferClient edge(int number) {
+        return clients.computeIfAbsent(number,
+                n -> new InferClient(loops.next(), procs.get(edges.get(n)).address(), MODEL));
+    }
+
+    /** {@return the line that tells where everything listens} */
+    public String readyLine() {
+        StringBuilder line = new StringBuilder("ready edge=");
+        for (int i = 0; i < edges.size(); i++) {
+            line.append(i == 0 ? "" : ",").append(procs.get(edges.get(i)).address());
+        }
+        return line.append(" planner=").append(procs.get("planner").address()).append(" registry=")
+                .append(procs.get("registry").address()).toString();
+    }
+
+    /** {@return an address; null for what was never ready} */
+    public String address(String name) {
+        return procs.get(name).address();
+    }
+
+    /** Kills a process outright. */
+    public void kill(String name) {
+        procs.get(name).kill();
+    }
+
+    /** Starts an engine again, cold. */
+    public void restartEngine(EngineSpot e) throws IOException {
+        Path config = files.engine(e.id(), e.role(), e.zone(), e.rack(), address("registry"), false, day.seed());
+        proc(e.id()).start("engine", config);
+    }
+
+    /** Starts an edge again, on the port that it had. */
+    public void restartEdge(int number) throws IOException {
+        startEdge(number, proc(edges.get(number)).port(), address("planner"));
+    }
+
+    /** Starts the planner again, on the port that it had. */
+    public void restartPlanner() throws IOException {
+        proc("planner").start("planner", files.planner(proc("planner").port(), address("registry")));
+    }
+
+    /** {@return the name of a process that ended by itself, or null} */
+    public String ended() {
+        return procs.values().stream().filter(p -> !p.isAlive()).map(p -> p.name).findFirst().orElse(null);
+    }
+
+    @Override
+    public void close() {
+        clients.values().forEach(InferClient::close);
+        List<Proc> all = new ArrayList<>(procs.values());
+        all.parallelStream().filter(p -> p.name.startsWith("edge")).forEach(p -> p.stop(5));
+        all.parallelStream().filter(p -> !p.name.startsWith("edge")).forEach(p -> p.stop(2));
+        loops.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
+    }
+}
