--- a/app/src/test/java/sorrelhoist/app/LocalFleet.java
+++ b/app/src/test/java/sorrelhoist/app/LocalFleet.java
@@ -56,7 +56,7 @@
     }
 
     private boolean knowsAll() {
-        return InferenceProbe.served(this, 0);
+        return edges.isEmpty() || InferenceProbe.served(this, 0);
     }
 
     PlannerSettings plannerSettings(int port) {
--- a/edge/src/main/java/sorrelhoist/edge/Edge.java
+++ b/edge/src/main/java/sorrelhoist/edge/Edge.java
@@ -78,6 +78,11 @@
         return loop.ready();
     }
 
+    /** {@return whether an engine serves, as this edge was last told: 1, 0, or -1 for one that it does not know} */
+    public int serving(String engine) {
+        return loop.serving(engine);
+    }
+
     /** What is still held, for tests: open, known, out and held requests, and calls to engines. */
     public java.util.concurrent.CompletableFuture<int[]> counts() {
         var result = new java.util.concurrent.CompletableFuture<int[]>();
--- a/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
+++ b/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
@@ -5,12 +5,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sorrelhoist.Routing.ListForm;
 import sorrelhoist.Routing.Server;
+import sorrelhoist.Routing.ServerState;
 import sorrelhoist.core.life.Call;
 import sorrelhoist.core.life.Order;
 import sorrelhoist.core.life.Router;
@@ -30,6 +32,7 @@
     private final Router router;
     private final Map<Long, Client> clients = new HashMap<>();
     private final Map<Client, Long> numbers = new HashMap<>();
+    private final Map<String, Boolean> serving = new ConcurrentHashMap<>();
     private Consumer<Order> engines = o -> { };
     private Client arriving;
     private long armedFor = Long.MAX_VALUE;
@@ -96,9 +99,18 @@
         });
     }
 
+    int serving(String engine) {
+        Boolean is = serving.get(engine);
+        return is == null ? -1 : is ? 1 : 0;
+    }
+
     void members(ListForm form, List<Server> servers, long now) {
+        if (form == ListForm.COMPLETE) {
+            serving.replaceAll((id, is) -> false);
+        }
+        servers.forEach(s -> serving.put(s.id(), s.state() == ServerState.SERVING));
         router.members(now, form, servers);
-        ready = true;
+        ready |= form != ListForm.UNAVAILABLE;
     }
 
     private void arm() {
