Measure codecs with JMH and one edge on loopback: added time, throughput, CPU, memory

The issue asks for figures: JMH benchmarks of HPACK, frames and messages, and a command that measures one edge against a direct path to the same engines.

--- a/app/src/main/java/sorrelhoist/app/Main.java
+++ b/app/src/main/java/sorrelhoist/app/Main.java
@@ -5,6 +5,7 @@
 import picocli.CommandLine.Command;
 import sorrelhoist.app.command.ConfigCommand;
 import sorrelhoist.app.command.FleetCommands;
+import sorrelhoist.app.command.MeasureCommand;
 import sorrelhoist.app.command.Programs;
 import sorrelhoist.wire.WireHost;
 
@@ -13,7 +14,8 @@
         description = "Routes requests for language models that are read by one pool of engines and answered by another.",
         subcommands = {Programs.EdgeProgram.class, Programs.PlannerProgram.class, Programs.EngineProgram.class,
             Programs.RegistryProgram.class, ConfigCommand.class, FleetCommands.Demo.class, FleetCommands.Up.class,
-            FleetCommands.AskCommand.class, FleetCommands.DayCommand.class, Main.Wirehost.class})
+            FleetCommands.AskCommand.class, FleetCommands.DayCommand.class, MeasureCommand.class,
+            Main.Wirehost.class})
 public final class Main {
     private Main() {
     }
--- a/app/src/main/java/sorrelhoist/app/command/FleetCommands.java
+++ b/app/src/main/java/sorrelhoist/app/command/FleetCommands.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import picocli.CommandLine.Command;
@@ -34,7 +35,7 @@
         public Integer call() throws IOException {
             Day day = seed == null ? Fleets.builtIn() : Fleets.withSeed(Fleets.builtIn(), seed);
             Path folder = Fleets.folder("demo");
-            try (ProcessFleet fleet = new ProcessFleet(day, folder, Fleets.self(), 0)) {
+            try (ProcessFleet fleet = new ProcessFleet(day, folder, Fleets.self(), 0, Map.of())) {
                 System.out.println("starting registry, planner, " + fleet.edgeCount() + " edges and "
                         + fleet.engines().size() + " engines; settings, logs and traces are in " + folder);
                 fleet.start();
@@ -91,7 +92,8 @@
             }
             Lifetime life = new Lifetime();
             Path folder = Fleets.folder("up");
-            try (ProcessFleet fleet = new ProcessFleet(Fleets.builtIn(), folder, Fleets.self(), portBase)) {
+            try (ProcessFleet fleet = new ProcessFleet(Fleets.builtIn(), folder, Fleets.self(), portBase,
+                    Map.of())) {
                 fleet.start();
                 System.out.println(fleet.readyLine());
                 System.out.flush();
@@ -142,7 +144,7 @@
                 return 2;
             }
             Day seeded = seed == null ? day : Fleets.withSeed(day, seed);
-            try (ProcessFleet fleet = new ProcessFleet(seeded, Fleets.folder("day"), Fleets.self(), 0)) {
+            try (ProcessFleet fleet = new ProcessFleet(seeded, Fleets.folder("day"), Fleets.self(), 0, Map.of())) {
                 fleet.start();
                 return Fleets.play(seeded, fleet) ? 0 : 1;
             }
--- /dev/null
+++ b/app/src/main/java/sorrelhoist/app/command/MeasureCommand.java
@@ -0,0 +1,33 @@
+package sorrelhoist.app.command;
+
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import sorrelhoist.lab.measure.PathMeasure;
+import sorrelhoist.lab.run.ProcessFleet;
+
+/** Measures one edge on this machine. */
+@Command(name = "measure", description = "Measures one edge: time added to a first token, throughput, CPU, memory.")
+public final class MeasureCommand implements Callable<Integer> {
+    @Option(names = "--requests", defaultValue = "100000", description = "for throughput and memory")
+    int requests;
+    @Option(names = "--concurrency", defaultValue = "64", description = "requests at once")
+    int concurrency;
+    @Option(names = "--tokens", defaultValue = "8", description = "that each may answer")
+    int tokens;
+
+    @Override
+    public Integer call() throws IOException {
+        if (requests < 4 || concurrency < 1 || tokens < 1) {
+            System.err.println("--requests from 4, --concurrency and --tokens from 1");
+            return 2;
+        }
+        try (ProcessFleet fleet = new ProcessFleet(PathMeasure.fleet(), Fleets.folder("measure"), Fleets.self(), 0,
+                PathMeasure.FAST)) {
+            fleet.start();
+            new PathMeasure(fleet, System.out::println).run(requests, concurrency, tokens);
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/sorrelhoist/lab/measure/PathMeasure.java
@@ -0,0 +1,143 @@
+package sorrelhoist.lab.measure;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+import sorrelhoist.lab.day.Day;
+import sorrelhoist.lab.load.Ask;
+import sorrelhoist.lab.load.InferClient;
+import sorrelhoist.lab.run.ProcessFleet;
+
+/**
+ * Measures one edge on loopback: what it adds to a first token (edge minus direct, turn by turn), requests a second
+ * with CPU a request, and the memory that lives after many.
+ */
+public final class PathMeasure {
+    /** Engines that cost next to nothing, so that the edge is what is measured. */
+    public static final Map<String, Long> FAST = Map.of("stepMicros", 100L, "perAnswerMicros", 0L, "readPerSecond",
+            100_000_000L, "slots", 4096L, "queue", 4096L, "memoryTokens", 100_000_000L, "moveTokensPerSecond",
+            1_000_000_000L, "farTokensPerSecond", 1_000_000_000L, "warmSendsPerSecond", 0L);
+    private static final String PROMPT = "Where is the pallet for dock seven, and when does the truck come back? ";
+    private static final long TIMEOUT = 8_000_000;
+    private static final int CLOCK_TICKS = 100;
+    private final ProcessFleet fleet;
+    private final Consumer<String> say;
+
+    /** {@return one edge, two readers and two writers} */
+    public static Day fleet() {
+        return new Day("measure", 1, 1, List.of(new Day.Zone("a", 1, List.of(new Day.Rack("r", 2, 2)))), List.of(),
+                List.of());
+    }
+
+    /**
+     * Makes it.
+     *
+     * @param fleet started, of {@link #fleet} with {@link #FAST} engines
+     * @param say takes lines of the report
+     */
+    public PathMeasure(ProcessFleet fleet, Consumer<String> say) {
+        this.fleet = fleet;
+        this.say = say;
+    }
+
+    private static Ask ask(int n, int tokens) {
+        return new Ask("m" + n, null, "s" + n % 100, null, 0, PROMPT + n % 100, tokens, TIMEOUT);
+    }
+
+    /**
+     * Measures.
+     *
+     * @param requests for throughput and memory
+     * @param concurrency requests at once
+     * @param tokens that each may answer
+     */
+    public void run(int requests, int concurrency, int tokens) throws IOException {
+        InferClient edge = fleet.edge(0);
+        say.accept("warming up");
+        burst(edge, 20_000, concurrency, tokens, new AtomicInteger());
+        added(edge, 4000);
+        throughput(edge, requests, concurrency, tokens);
+    }
+
+    private void added(InferClient edge, int count) {
+        DirectClient direct = new DirectClient(fleet.loops().next(), fleet.address("r-r1"), fleet.address("r-w1"));
+        Histogram with = new Histogram(60_000_000, 3);
+        Histogram without = new Histogram(60_000_000, 3);
+        for (int i = 0; i < count; i++) {
+            long d = direct.ask("d" + i, PROMPT + i % 100, 4).join();
+            InferClient.Result r = edge.ask(ask(i, 4), (n, t) -> { }).join();
+            if (i >= count / 4 && r.served()) {
+                without.recordValue(d);
+                with.recordValue(r.firstMicros());
+            }
+        }
+        say.accept(String.format("first token, one at a time, %d each: direct median %d us, 99th %d us; through the "
+                + "edge median %d us, 99th %d us; added median %d us, 99th %d us", with.getTotalCount(),
+                without.getValueAtPercentile(50), without.getValueAtPercentile(99), with.getValueAtPercentile(50),
+                with.getValueAtPercentile(99), with.getValueAtPercentile(50) - without.getValueAtPercentile(50),
+                with.getValueAtPercentile(99) - without.getValueAtPercentile(99)));
+    }
+
+    private void throughput(InferClient edge, int requests, int concurrency, int tokens) throws IOException {
+        long pid = fleet.pid("edge-1");
+        say.accept(String.format("live heap of the edge after warm-up: %.1f MB", live(pid) / 1e6));
+        int part = requests / 4;
+        for (int i = 1; i <= 4; i++) {
+            AtomicInteger served = new AtomicInteger();
+            long cpu = cpuMicros(pid);
+            long start = System.nanoTime();
+            burst(edge, part, concurrency, tokens, served);
+            double seconds = (System.nanoTime() - start) / 1e9;
+            double used = cpuMicros(pid) - cpu;
+            say.accept(String.format("%d requests at %d at once, %d served: %.0f a second, %.0f us of CPU a request; "
+                    + "live heap %.1f MB, resident %.1f MB", part, concurrency, served.get(), part / seconds,
+                    used / part, live(pid) / 1e6, resident(pid) / 1e6));
+        }
+    }
+
+    private void burst(InferClient edge, int count, int concurrency, int tokens, AtomicInteger served) {
+        Semaphore room = new Semaphore(concurrency);
+        CompletableFuture<?>[] last = new CompletableFuture<?>[count];
+        for (int i = 0; i < count; i++) {
+            room.acquireUninterruptibly();
+            last[i] = edge.ask(ask(i, tokens), (n, t) -> { }).thenAccept(r -> {
+                served.addAndGet(r.served() ? 1 : 0);
+                room.release();
+            });
+        }
+        CompletableFuture.allOf(last).join();
+    }
+
+    /** User and system time of a process, from the kernel. */
+    private static long cpuMicros(long pid) throws IOException {
+        String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * 1_000_000 / CLOCK_TICKS;
+    }
+
+    private static long resident(long pid) throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + pid + "/status")).stream().filter(l -> l.startsWith("VmRSS"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("[^0-9]", "")) * 1024).sum();
+    }
+
+    /** Bytes of objects that live after a full collection, as the JDK's own tool counts them. */
+    private static long live(long pid) throws IOException {
+        Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
+                Long.toString(pid), "GC.class_histogram").redirectErrorStream(true).start();
+        String[] lines = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8).split("\n");
+        for (int i = lines.length - 1; i >= 0; i--) {
+            if (lines[i].startsWith("Total")) {
+                return Long.parseLong(lines[i].trim().split("\\s+")[2]);
+            }
+        }
+        throw new IOException("jcmd told nothing of process " + pid);
+    }
+}
--- a/lab/src/main/java/sorrelhoist/lab/run/FleetFiles.java
+++ b/lab/src/main/java/sorrelhoist/lab/run/FleetFiles.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import sorrelhoist.lab.day.Day;
 
 /**
@@ -17,10 +18,13 @@
     private final ObjectMapper json = new ObjectMapper();
     private final Path folder;
     private final Day day;
+    private final ObjectNode engineExtra;
 
-    FleetFiles(Path folder, Day day) {
+    FleetFiles(Path folder, Day day, Map<String, Long> engineExtra) {
         this.folder = folder;
         this.day = day;
+        this.engineExtra = json.createObjectNode();
+        engineExtra.forEach(this.engineExtra::put);
     }
 
     Path registry(int port) throws IOException {
@@ -49,6 +53,7 @@
         n.put("id", id).put("role", role).put("kind", role.equals("read") ? "prefill" : "decode").put("zone", zone)
                 .put("rack", rack).put("registry", registry).put("warm", warm).put("trace", trace(id))
                 .put("seed", seed);
+        n.setAll(engineExtra);
         return write(id + (warm ? "" : "-cold"), "engine", n);
     }
 
--- a/lab/src/main/java/sorrelhoist/lab/run/Proc.java
+++ b/lab/src/main/java/sorrelhoist/lab/run/Proc.java
@@ -79,8 +79,8 @@
         return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
     }
 
-    boolean isAlive() {
-        return process != null && process.isAlive();
+    long pid() {
+        return process.pid();
     }
 
     /** Kills it outright and waits until it is gone. */
--- a/lab/src/main/java/sorrelhoist/lab/run/ProcessFleet.java
+++ b/lab/src/main/java/sorrelhoist/lab/run/ProcessFleet.java
@@ -50,13 +50,14 @@
      * @param folder for settings, logs and traces; the templates lie there already
      * @param command that starts one process, without its sub-command
      * @param portBase first port of the edges, then planner and registry; 0 for ports that the system picks
+     * @param engineExtra settings of the engines in place of the template's
      */
-    public ProcessFleet(Day day, Path folder, List<String> command, int portBase) {
+    public ProcessFleet(Day day, Path folder, List<String> command, int portBase, Map<String, Long> engineExtra) {
         this.day = day;
         this.folder = folder;
         this.command = command;
         this.portBase = portBase;
-        this.files = new FleetFiles(folder, day);
+        this.files = new FleetFiles(folder, day, engineExtra);
         for (Day.Zone z : day.zones()) {
             for (Day.Rack r : z.racks()) {
                 for (int i = 1; i <= r.readers(); i++) {
@@ -200,9 +201,9 @@
         proc("planner").start("planner", files.planner(proc("planner").port(), address("registry")));
     }
 
-    /** {@return the name of a process that ended by itself, or null} */
-    public String ended() {
-        return procs.values().stream().filter(p -> !p.isAlive()).map(p -> p.name).findFirst().orElse(null);
+    /** {@return the process id of a part of the fleet} */
+    public long pid(String name) {
+        return procs.get(name).pid();
     }
 
     @Override
--- /dev/null
+++ b/protocol/src/test/java/sorrelhoist/protocol/http2/FrameBench.java
@@ -0,0 +1,120 @@
+package sorrelhoist.protocol.http2;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import sorrelhoist.protocol.hpack.Headers;
+
+/** What it costs to carry a token's frame between two connections in memory, windows and turns included. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class FrameBench {
+    private static final int TOKENS = 100;
+    private final FrameReader reader = new FrameReader(Frames.DEFAULT_FRAME);
+    private final ByteBuf frames = Unpooled.buffer();
+    private final Pair pair = new Pair();
+    private final Http2Stream client = pair.open(true);
+    private long seen;
+    private final FrameReader.Sink sink = new FrameReader.Sink() {
+        @Override
+        public void data(int stream, ByteBuf payload, int flowBytes, boolean end) {
+            seen += payload.readableBytes();
+        }
+
+        @Override
+        public void headers(int stream, ByteBuf fragment, boolean end, boolean whole) {
+            seen++;
+        }
+
+        @Override
+        public void continuation(int stream, ByteBuf fragment, boolean whole) {
+            seen++;
+        }
+
+        @Override
+        public void priority(int stream) {
+            seen++;
+        }
+
+        @Override
+        public void reset(int stream, ErrorCode code) {
+            seen++;
+        }
+
+        @Override
+        public void settings(ByteBuf pairs) {
+            seen++;
+        }
+
+        @Override
+        public void settingsAck() {
+            seen++;
+        }
+
+        @Override
+        public void ping(boolean ack, long content) {
+            seen++;
+        }
+
+        @Override
+        public void goAway(int lastStream, ErrorCode code) {
+            seen++;
+        }
+
+        @Override
+        public void windowUpdate(int stream, int bytes) {
+            seen++;
+        }
+
+        @Override
+        public void unknown(int type) {
+            seen++;
+        }
+    };
+
+    /** Opens the stream that the tokens use. */
+    public FrameBench() {
+        pair.pump();
+        pair.opened.get(0).headers(new Headers().add(":status", "200"), false);
+        pair.pump();
+        for (int i = 0; i < TOKENS; i++) {
+            frames.writeMedium(64).writeByte(Frames.DATA).writeByte(0).writeInt(1).writeZero(64);
+        }
+    }
+
+    /** A hundred DATA frames of 64 bytes cut out of 7,300 bytes. */
+    @Benchmark
+    public long cutFrames() throws Http2Exception {
+        ByteBuf in = frames.duplicate();
+        while (reader.next(in, sink)) {
+            seen++;
+        }
+        return seen;
+    }
+
+    /** A hundred tokens from one connection to another, through buffers, windows and listeners. */
+    @Benchmark
+    public int carryTokens() {
+        Http2Stream server = pair.opened.get(0);
+        for (int i = 0; i < TOKENS; i++) {
+            server.data(pair.server.allocate(64).writeZero(64), false);
+        }
+        pair.pump();
+        pair.events.clear();
+        pair.order.clear();
+        return client.id();
+    }
+}
