Fuzz every decoder; give up answers that their client never takes

A generative fuzz damages whole conversations, cuts them anywhere and feeds them to a serving connection, and small inputs to each decoder; a seed is all that is needed to see an input again. An answer that is whole at this side and that its peer does not take (zero windows, a socket it does not read) was held as long as the peer liked: it is reset after the time that a frame may take.

--- a/protocol/src/main/java/sorrelhoist/protocol/http2/Http2Connection.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/http2/Http2Connection.java
@@ -89,6 +89,7 @@
     private RateGuard guard;
     private long partialSince;
     private boolean watching;
+    private boolean watchingStuck;
     private long sendWindow = Frames.DEFAULT_WINDOW;
     private long receiveWindow;
     private int receivedSinceCredit;
@@ -102,6 +103,7 @@
     private boolean drainAnnounced;
     private boolean failed;
     private boolean flushDue;
+    private RuntimeException internalError;
     private String why = "the peer closed the connection";
 
     private Http2Connection(boolean server, Http2Limits limits, Acceptor acceptor, Watcher watcher) {
@@ -145,6 +147,16 @@
         return streams.size();
     }
 
+    /** {@return bytes of frames and header blocks that are not whole yet} */
+    int heldBytes() {
+        return rest.readableBytes() + (block == null ? 0 : block.readableBytes());
+    }
+
+    /** {@return what ended the connection where that was this program's own fault, or null} */
+    RuntimeException internalError() {
+        return internalError;
+    }
+
     /** {@return whether the peer's settings have come} */
     public boolean isReady() {
         return settingsSeen;
@@ -271,6 +283,7 @@
         } catch (Http2Exception e) {
             close(e.code(), e.getMessage());
         } catch (RuntimeException e) {
+            internalError = e;
             close(ErrorCode.INTERNAL_ERROR, "internal error: " + e);
         } finally {
             keepRest(in);
@@ -446,11 +459,40 @@
     void enqueue(Http2Stream s) {
         if (!s.queued) {
             s.queued = true;
+            s.movedAt = System.nanoTime();
             turns.add(s);
+            watchStuck();
         }
         sendWaiting();
     }
 
+    /**
+     * An answer that is whole here and that its peer does not take, for zero windows or a socket it does not read,
+     * would be held for as long as the peer likes. It is given up after the same time that a frame may take to come;
+     * a stream that still runs is its user's to judge.
+     */
+    private void watchStuck() {
+        if (!watchingStuck && !failed) {
+            watchingStuck = true;
+            ctx.executor().schedule(this::lookForStuck, limits.stallMicros(), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void lookForStuck() {
+        watchingStuck = false;
+        long before = System.nanoTime() - TimeUnit.MICROSECONDS.toNanos(limits.stallMicros());
+        for (Http2Stream s : new ArrayList<>(turns)) {
+            if (!s.closed && s.isEnding() && s.movedAt <= before) {
+                StreamListener listener = s.listener;
+                resetStream(s, ErrorCode.CANCEL);
+                listener.reset(ErrorCode.CANCEL, false, "the peer did not take the end of its answer");
+            }
+        }
+        if (!turns.isEmpty()) {
+            watchStuck();
+        }
+    }
+
     /** Each stream in turn sends up to one turn's bytes, as long as windows and the socket take them. */
     private void sendWaiting() {
         int idle = 0;
@@ -467,6 +509,7 @@
                 continue;
             }
             idle = 0;
+            s.movedAt = System.nanoTime();
             sendData(s, Math.max(0, most));
             if (!s.closed && s.hasWork()) {
                 turns.add(s);
--- a/protocol/src/main/java/sorrelhoist/protocol/http2/Http2Stream.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/http2/Http2Stream.java
@@ -20,6 +20,7 @@
     boolean closed;
     boolean queued;
     boolean headersSeen;
+    long movedAt;
     private final ArrayDeque<ByteBuf> waiting = new ArrayDeque<>(2);
     private int waitingBytes;
     private boolean wasHigh;
@@ -117,6 +118,10 @@
         }
     }
 
+    boolean isEnding() {
+        return endAsked;
+    }
+
     boolean hasWork() {
         return !waiting.isEmpty();
     }
--- /dev/null
+++ b/protocol/src/test/java/sorrelhoist/protocol/fuzz/DecoderFuzz.java
@@ -0,0 +1,121 @@
+package sorrelhoist.protocol.fuzz;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicLong;
+import sorrelhoist.protocol.engine.DecodeEvent;
+import sorrelhoist.protocol.engine.DecodeRequest;
+import sorrelhoist.protocol.hpack.HpackDecoder;
+import sorrelhoist.protocol.hpack.HpackException;
+import sorrelhoist.protocol.http1.HttpMessage;
+import sorrelhoist.protocol.http1.HttpParser;
+import sorrelhoist.protocol.http2.Fuzzed;
+import sorrelhoist.protocol.inference.InferRequest;
+import sorrelhoist.protocol.inference.InferResponse;
+import sorrelhoist.protocol.plan.PlanEvent;
+import sorrelhoist.protocol.protobuf.ProtoException;
+
+/**
+ * Generative fuzz of every decoder: inputs follow from their seeds, and a seed that fails is all that is needed to see
+ * it again. Anything but the decoder's own refusal is a failure, as is an input that takes a second.
+ */
+public final class DecoderFuzz {
+    private static final long SLOW_NANOS = 1_000_000_000L;
+
+    private DecoderFuzz() {
+    }
+
+    /** One input. {@return its bytes} */
+    static int input(long seed) {
+        long start = System.nanoTime();
+        int size;
+        try {
+            size = seed % 3 == 0 ? new Fuzzed(seed).feed() : small(new SplittableRandom(seed), (int) (seed % 7));
+        } catch (RuntimeException | AssertionError e) {
+            throw new AssertionError("seed " + seed, e);
+        }
+        if (System.nanoTime() - start > SLOW_NANOS) {
+            throw new AssertionError("seed " + seed + " took more than a second");
+        }
+        return size;
+    }
+
+    private static int small(SplittableRandom random, int which) {
+        byte[] bytes = new byte[random.nextInt(400)];
+        random.nextBytes(bytes);
+        if (random.nextBoolean()) {
+            // Small numbers are tags, lengths and indices: they get further in.
+            for (int i = 0; i < bytes.length; i++) {
+                bytes[i] = (byte) (random.nextInt(3) > 0 ? random.nextInt(48) : bytes[i]);
+            }
+        }
+        try {
+            switch (which) {
+                case 0 -> InferRequest.parse(bytes);
+                case 1 -> InferResponse.parseStreamed(bytes);
+                case 2 -> PlanEvent.parse(bytes);
+                case 3 -> DecodeEvent.parse(bytes);
+                case 4 -> DecodeRequest.parse(bytes);
+                case 5 -> {
+                    HpackDecoder decoder = new HpackDecoder(4096, 16 << 10);
+                    for (int i = 0; i < 3; i++) {
+                        decoder.decode(Unpooled.wrappedBuffer(bytes));
+                    }
+                }
+                default -> http(bytes, random);
+            }
+        } catch (ProtoException | HpackException | HttpParser.BadMessage e) {
+            return bytes.length;
+        }
+        return bytes.length;
+    }
+
+    private static void http(byte[] noise, SplittableRandom random) throws HttpParser.BadMessage {
+        String text = "POST /a HTTP/1.1\r\nhost: h\r\n" + (random.nextBoolean() ? "content-length: 9\r\n\r\n123456789"
+                : "transfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n");
+        byte[] bytes = text.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1);
+        for (int i = random.nextInt(4); i > 0 && noise.length > 0; i--) {
+            bytes[random.nextInt(bytes.length)] = noise[random.nextInt(noise.length)];
+        }
+        HttpParser parser = new HttpParser(true, 1000);
+        ByteBuf in = Unpooled.wrappedBuffer(bytes);
+        for (HttpMessage m = parser.next(in); m != null; m = parser.next(in)) {
+            m.path();
+        }
+    }
+
+    /**
+     * Runs for a while.
+     *
+     * @param args seconds, threads and the first seed
+     */
+    public static void main(String[] args) throws InterruptedException {
+        long end = System.nanoTime() + Long.parseLong(args[0]) * 1_000_000_000L;
+        int threads = Integer.parseInt(args[1]);
+        AtomicLong seeds = new AtomicLong(Long.parseLong(args[2]));
+        AtomicLong bytes = new AtomicLong();
+        long first = seeds.get();
+        Thread[] all = new Thread[threads];
+        for (int i = 0; i < threads; i++) {
+            all[i] = new Thread(() -> {
+                while (System.nanoTime() < end) {
+                    for (int n = 0; n < 1000; n++) {
+                        bytes.addAndGet(input(seeds.getAndIncrement()));
+                    }
+                }
+            });
+            all[i].setUncaughtExceptionHandler((t, e) -> {
+                e.printStackTrace();
+                Runtime.getRuntime().halt(1);
+            });
+            all[i].start();
+        }
+        for (Thread t : all) {
+            t.join();
+        }
+        System.out.println((seeds.get() - first) + " inputs, " + bytes.get() / 1_000_000 + " MB, " + threads
+                + " threads for " + args[0] + " s, no failure; heap in use "
+                + (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) / 1_000_000 + " MB");
+    }
+}
--- /dev/null
+++ b/protocol/src/test/java/sorrelhoist/protocol/fuzz/DecoderFuzzTest.java
@@ -0,0 +1,17 @@
+package sorrelhoist.protocol.fuzz;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** A fixed part of the fuzz, the same in every run. */
+class DecoderFuzzTest {
+    @Test
+    void aFixedCorpusIsTakenOrRefused() {
+        long bytes = 0;
+        for (long seed = 0; seed < 30_000; seed++) {
+            bytes += DecoderFuzz.input(seed);
+        }
+        assertTrue(bytes > 1_000_000);
+    }
+}
--- a/protocol/src/test/java/sorrelhoist/protocol/http2/Http2ConnectionTest.java
+++ b/protocol/src/test/java/sorrelhoist/protocol/http2/Http2ConnectionTest.java
@@ -350,4 +350,26 @@
         }
         assertFalse(raw.channel.isOpen());
     }
+
+    @Test
+    void anAnswerThatItsClientNeverTakesIsGivenUpInTimeAndOthersAreNot() {
+        Pair p = new Pair(Http2Limits.SERVER.withStall(20_000), Http2Limits.CLIENT.withStreamWindow(100), 0);
+        p.autoCredit = false;
+        p.open(true);
+        p.open(true);
+        p.pump();
+        p.opened.forEach(s -> s.headers(OK, false));
+        p.opened.get(0).data(bytes(500), true);
+        p.opened.get(1).data(bytes(500), false);
+        p.pump();
+        long bound = System.nanoTime() + 5_000_000_000L;
+        while (!p.events.contains("client reset CANCEL false") && System.nanoTime() < bound) {
+            p.serverChannel.runScheduledPendingTasks();
+            p.pump();
+        }
+        assertTrue(p.events.contains("client reset CANCEL false"), p.events.toString());
+        assertTrue(p.opened.get(0).isClosed());
+        assertFalse(p.opened.get(1).isClosed());
+        assertEquals(400, p.opened.get(1).pendingBytes());
+    }
 }
