Hold back engines for slow clients, end those that never read; spans; an edge's end in order

A client that does not read made its engine look silent, and nothing ended it. The edge now tells the router when a client takes nothing: its engine is held back through flow control and not to blame meanwhile, and after serving.stallMs the stream is reset. Spans (OpenTelemetry) for each request and attempt stand under the client's traceparent, which goes on to the engines; off, the header alone is passed on. grpc-previous-rpc-attempts is seen and passed on.

--- a/app/src/main/java/sorrelhoist/app/command/Programs.java
+++ b/app/src/main/java/sorrelhoist/app/command/Programs.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import sorrelhoist.app.Spans;
 import sorrelhoist.app.config.Config;
 import sorrelhoist.edge.Edge;
 import sorrelhoist.edge.EdgeSettings;
@@ -36,7 +37,7 @@
         public Integer call() throws IOException, Config.Faulty {
             EdgeSettings settings = Config.edge(config);
             Lifetime life = new Lifetime();
-            Edge edge = new Edge(settings).start();
+            Edge edge = new Edge(settings, Spans.of(settings.traceShare())).start();
             ready("edge", edge.port());
             life.await();
             edge.drain(life::hurried);
--- a/app/src/main/java/sorrelhoist/app/config/Checks.java
+++ b/app/src/main/java/sorrelhoist/app/config/Checks.java
@@ -88,6 +88,7 @@
         Set<String> roles = new HashSet<>(s.kinds().stream().map(EdgeSettings.KindSettings::role).toList());
         require(roles.contains("both") || roles.contains("read") && roles.contains("write"), "kinds",
                 "need one that reads and one that writes, or one that does both");
+        range("traceShare", s.traceShare(), 0, 1);
         limits(s.limits());
         rules(s.rules());
         serving(s.serving());
@@ -112,6 +113,7 @@
 
     private void serving(EdgeSettings.ServingSettings s) {
         range("serving.marginMs", s.marginMs(), 0, 10_000);
+        range("serving.stallMs", s.stallMs(), 100, 3_600_000);
         range("serving.maxOpen", s.maxOpen(), 1, 10_000_000);
         range("serving.mostMaxTokens", s.mostMaxTokens(), 1, 1_000_000);
         range("serving.defaultMaxTokens", s.defaultMaxTokens(), 1, s.mostMaxTokens());
--- a/app/src/main/resources/templates/edge.libsonnet
+++ b/app/src/main/resources/templates/edge.libsonnet
@@ -35,6 +35,7 @@
   serving: {
     marginMs: 20,  // answers come before a client's time is up by this much
     resumes: true,
+    stallMs: 10000,  // a client that takes nothing of its answer for so long is given up
     maxOpen: 10000,
     defaultMaxTokens: 256,
     mostMaxTokens: 4096,
@@ -46,5 +47,6 @@
     streamsPerConnection: 1000,
     drainMs: 10000,
   },
+  traceShare: 0,  // of requests whose spans go to the log; those that clients sample come on top
   seed: 1,
 }
--- /dev/null
+++ b/app/src/test/java/sorrelhoist/app/StormTest.java
@@ -0,0 +1,75 @@
+package sorrelhoist.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.slf4j.LoggerFactory;
+import sorrelhoist.lab.day.Day;
+import sorrelhoist.lab.judge.Judge;
+import sorrelhoist.lab.judge.Line;
+import sorrelhoist.lab.judge.Verdict;
+import sorrelhoist.lab.load.ClientTrace;
+import sorrelhoist.lab.load.DayLoad;
+import sorrelhoist.lab.load.InferClient;
+
+/** Thousands of streams with cancels, stalls, errors, lost answers and deaths mixed by seed, judged by their traffic. */
+class StormTest {
+    @TempDir
+    Path traces;
+
+    @Test
+    void everyStreamOfAStormEndsOnceAndNothingIsLeft() throws Exception {
+        Logger leaks = (Logger) LoggerFactory.getLogger("io.netty.util.ResourceLeakDetector");
+        ListAppender<ILoggingEvent> seen = new ListAppender<>();
+        seen.start();
+        leaks.addAppender(seen);
+        Day day = new Day("storm", 11, 5_000_000, List.of(), List.of(
+                new Day.Load("chat", 500, 20, 60, 4, 30, 200, 10, 100, 4_000_000, 0.2),
+                new Day.Load("order", 60, 20, 60, 4, 10, 50, 0, 0, 4_000_000, 0.1)), List.of());
+        List<DayLoad.Planned> plan = DayLoad.plan(day, 1);
+        assertTrue(plan.size() > 2000);
+        ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+        try (LocalFleet fleet = new LocalFleet(3, 3, 1, true, traces, null);
+                ClientTrace clients = new ClientTrace(traces.resolve("clients.jsonl"), "clients")) {
+            InferClient client = fleet.client(0);
+            SplittableRandom random = new SplittableRandom(day.seed());
+            String[] commands = {"errors 0.5 400", "lose 0.3 300", "hang 300", "slow 5 500"};
+            for (int i = 0; i < 12; i++) {
+                String engine = (random.nextBoolean() ? "r" : "w") + (1 + random.nextInt(2));
+                String command = commands[random.nextInt(commands.length)];
+                timer.schedule(() -> fleet.tell(engine, command), 200 + 350 * i, TimeUnit.MILLISECONDS);
+            }
+            timer.schedule(() -> {
+                clients.line("killed", "target", "w3");
+                fleet.engines.get("w3").kill();
+            }, 1500, TimeUnit.MILLISECONDS);
+            timer.schedule(() -> fleet.engine("w3", "write", "rack1", 0), 2500, TimeUnit.MILLISECONDS);
+            DayLoad.run(plan, n -> client, clients, fleet.loops);
+            fleet.nothingLeft(0);
+            timer.shutdown();
+            assertTrue(timer.awaitTermination(5, TimeUnit.SECONDS));
+        }
+        Verdict v = Judge.judge(Line.readAll(traces), new Judge.Figures(0, 1_000_000, 500_000, 500_000, Set.of(1)));
+        assertEquals(List.of(), v.broken(), v.table());
+        assertEquals(plan.size(), v.served() + v.refused() + v.failed() + v.cancelled(), v.table());
+        assertTrue(v.served() > plan.size() / 3, v.table());
+        assertTrue(v.cancelled() > 50, v.table());
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+            io.netty.buffer.PooledByteBufAllocator.DEFAULT.buffer(10).release();
+        }
+        assertEquals(List.of(), seen.list.stream().map(ILoggingEvent::getFormattedMessage).toList());
+    }
+}
--- /dev/null
+++ b/app/src/test/java/sorrelhoist/app/StreamsTest.java
@@ -0,0 +1,165 @@
+package sorrelhoist.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.opentelemetry.sdk.OpenTelemetrySdk;
+import io.opentelemetry.sdk.testing.exporter.InMemorySpanExporter;
+import io.opentelemetry.sdk.trace.SdkTracerProvider;
+import io.opentelemetry.sdk.trace.data.SpanData;
+import io.opentelemetry.sdk.trace.export.SimpleSpanProcessor;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import sorrelhoist.lab.load.InferClient;
+import sorrelhoist.protocol.grpc.ClientCall;
+import sorrelhoist.protocol.grpc.Code;
+import sorrelhoist.protocol.grpc.GrpcChannel;
+import sorrelhoist.protocol.grpc.Status;
+import sorrelhoist.protocol.hpack.Headers;
+import sorrelhoist.protocol.http2.Http2Limits;
+import sorrelhoist.protocol.inference.InferRequest;
+import sorrelhoist.protocol.inference.ModelMessages;
+import sorrelhoist.protocol.inference.Parameter;
+import sorrelhoist.protocol.inference.Tensor;
+
+/** Streams whose clients read slowly or not at all, the end of an edge in good order, and spans. */
+class StreamsTest {
+    private LocalFleet fleet;
+
+    @AfterEach
+    void close() {
+        if (fleet != null) {
+            fleet.close();
+        }
+    }
+
+    /** A client that takes nothing until it is told to. */
+    private static final class Idle implements ClientCall.Listener {
+        final AtomicInteger messages = new AtomicInteger();
+        final CompletableFuture<Status> closed = new CompletableFuture<>();
+        volatile boolean takes;
+        private int owed;
+        ClientCall call;
+
+        @Override
+        public void message(ClientCall c, byte[] message, int wireBytes) {
+            messages.incrementAndGet();
+            if (takes) {
+                c.credit(wireBytes);
+            } else {
+                owed += wireBytes;
+            }
+        }
+
+        void take() {
+            takes = true;
+            call.credit(owed);
+            owed = 0;
+        }
+
+        @Override
+        public void closed(ClientCall c, Status status, Headers trailers, ClientCall.End end) {
+            closed.complete(status);
+        }
+    }
+
+    private Idle idle(GrpcChannel channel, int tokens, Headers metadata) {
+        Idle idle = new Idle();
+        idle.call = channel.call(ModelMessages.SERVICE + "ModelStreamInfer", metadata, idle);
+        idle.call.sendLast(new InferRequest(LocalFleet.MODEL, "", "slow", java.util.Map.of("max_tokens",
+                new Parameter((long) tokens)), List.of(Tensor.text("text_input", "tell me all of it")), List.of())
+                .bytes());
+        channel.loop().execute(() -> channel.start(idle.call));
+        return idle;
+    }
+
+    private GrpcChannel narrow() {
+        return new GrpcChannel(fleet.loops.next(), fleet.address(0), new GrpcChannel.Options(1, 1_000_000, 0, 1 << 20,
+                Http2Limits.CLIENT.withStreamWindow(2000)));
+    }
+
+    @Test
+    void aClientThatNeverReadsIsEndedInBoundedTimeAndSlowsNobody() throws Exception {
+        fleet = new LocalFleet(1, 1, 1);
+        Idle idle = idle(narrow(), 4000, null);
+        for (int i = 0; i < 5; i++) {
+            assertTrue(InferenceProbe.served(fleet, 0));
+        }
+        Status status = idle.closed.get(10, TimeUnit.SECONDS);
+        assertFalse(status.isOk());
+        assertTrue(idle.messages.get() < 40, "it was given " + idle.messages.get());
+        fleet.nothingLeft(0);
+    }
+
+    @Test
+    void aClientThatPausesGetsEveryTokenAfterwards() throws Exception {
+        fleet = new LocalFleet(1, 1, 1);
+        GrpcChannel channel = narrow();
+        Idle idle = idle(channel, 2000, null);
+        LocalFleet.await("the window to fill", () -> idle.messages.get() >= 20);
+        channel.loop().schedule(idle::take, 800, TimeUnit.MILLISECONDS);
+        assertTrue(idle.closed.get(15, TimeUnit.SECONDS).isOk());
+        assertTrue(idle.messages.get() > 500);
+        fleet.nothingLeft(0);
+    }
+
+    @Test
+    void anEdgeThatIsStoppedFinishesWhatRunsAndRefusesTheRest() throws Exception {
+        fleet = new LocalFleet(1, 1, 1);
+        InferClient client = fleet.client(0);
+        CompletableFuture<Void> begun = new CompletableFuture<>();
+        var running = client.ask(InferenceProbe.ask("runs", 300, 10_000_000), (i, t) -> begun.complete(null));
+        begun.get(5, TimeUnit.SECONDS);
+        Thread drain = new Thread(() -> fleet.edges.get(0).drain(() -> false));
+        drain.start();
+        assertTrue(running.get(10, TimeUnit.SECONDS).served());
+        drain.join(10_000);
+        assertFalse(drain.isAlive());
+        InferClient.Result after = client.ask(InferenceProbe.ask("late", 5, 1_000_000), (i, t) -> { })
+                .get(5, TimeUnit.SECONDS);
+        assertFalse(after.served());
+    }
+
+    @Test
+    void aSecondSignalEndsWhatRunsWithAnAnswer() throws Exception {
+        fleet = new LocalFleet(1, 1, 1);
+        CompletableFuture<Void> begun = new CompletableFuture<>();
+        var running = fleet.client(0).ask(InferenceProbe.ask("runs", 4000, 10_000_000),
+                (i, t) -> begun.complete(null));
+        begun.get(5, TimeUnit.SECONDS);
+        fleet.edges.get(0).drain(() -> true);
+        InferClient.Result r = running.get(5, TimeUnit.SECONDS);
+        assertEquals(Code.UNAVAILABLE, r.status().code());
+        assertEquals("the edge stops", r.status().message());
+    }
+
+    @Test
+    void spansOfARequestAndItsAttemptsStandUnderTheClientsTrace() throws Exception {
+        InMemorySpanExporter spans = InMemorySpanExporter.create();
+        OpenTelemetrySdk telemetry = OpenTelemetrySdk.builder().setTracerProvider(SdkTracerProvider.builder()
+                .addSpanProcessor(SimpleSpanProcessor.create(spans)).build()).build();
+        fleet = new LocalFleet(1, 1, 1, true, null, telemetry);
+        spans.reset();
+        String trace = "0af7651916cd43dd8448eb211c80319c";
+        Idle idle = idle(narrow(), 5, new Headers().add("traceparent", "00-" + trace + "-b7ad6b7169203331-01")
+                .add("grpc-previous-rpc-attempts", "2"));
+        assertTrue(idle.closed.get(10, TimeUnit.SECONDS).isOk());
+        LocalFleet.await("the spans", () -> spans.getFinishedSpanItems().size() >= 3);
+        List<SpanData> all = spans.getFinishedSpanItems();
+        SpanData request = all.stream().filter(s -> s.getName().equals("infer")).findFirst().orElseThrow();
+        assertEquals("b7ad6b7169203331", request.getParentSpanId());
+        assertEquals(3, all.stream().filter(s -> s.getTraceId().equals(trace)).count());
+        for (String attempt : new String[] {"prefill", "decode"}) {
+            SpanData s = all.stream().filter(a -> a.getName().equals(attempt)).findFirst().orElseThrow();
+            assertEquals(request.getSpanId(), s.getParentSpanId());
+            assertTrue(s.getAttributes().asMap().toString().contains("sorrelhoist.outcome=DONE"), s.toString());
+        }
+        assertTrue(request.getAttributes().asMap().toString().contains("previous_attempts=2"));
+        telemetry.close();
+    }
+}
--- a/core/src/main/java/sorrelhoist/core/life/Answer.java
+++ b/core/src/main/java/sorrelhoist/core/life/Answer.java
@@ -18,6 +18,14 @@
     record Refused(long backoffMicros) implements Answer {
     }
 
+    /**
+     * Given up because the client takes nothing: nothing more can be told to it, so its stream is reset.
+     *
+     * @param why for the log
+     */
+    record Stalled(String why) implements Answer {
+    }
+
     /**
      * Not served whole, and nothing is known of a repeat.
      *
--- a/core/src/main/java/sorrelhoist/core/life/Call.java
+++ b/core/src/main/java/sorrelhoist/core/life/Call.java
@@ -13,7 +13,10 @@
  * @param promptTokens tokens of the text
  * @param maxTokens the most that may be answered, 1 or more
  * @param timeoutMicros until the client gives up on the whole answer; 0 where it did not say
+ * @param previousAttempts how often the client's own library has tried before, as it marks it
+ * @param trace the carrier's own, handed back with orders; may be null
  */
 public record Call(String clientId, int cls, int tenant, String session, String prefix, long prefixTokens,
-        String prompt, long promptTokens, int maxTokens, long timeoutMicros) {
+        String prompt, long promptTokens, int maxTokens, long timeoutMicros,
+        int previousAttempts, Object trace) {
 }
--- a/core/src/main/java/sorrelhoist/core/life/Life.java
+++ b/core/src/main/java/sorrelhoist/core/life/Life.java
@@ -37,6 +37,8 @@
     int sends;
     int resumptions;
     int tokens;
+    /** Since when the client takes nothing; 0 while it does. */
+    long blockedSince;
     Attempt out;
     Held state;
     String placeEngine;
--- a/core/src/main/java/sorrelhoist/core/life/Router.java
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -40,6 +40,9 @@
     private record Expiry(Life life) implements Alarm {
     }
 
+    private record Blocked(Life life, long since) implements Alarm {
+    }
+
     private final RouterSettings settings;
     private final Decide decide;
     private final Consumer<Order> carrier;
@@ -99,8 +102,13 @@
         }
         life.finished = true;
         leaving.add(life);
+        abandon(life, Phase.Step.CLIENT_GONE);
+    }
+
+    /** Stops what is done for a client that nothing is owed to any more. */
+    private void abandon(Life life, Phase.Step step) {
         Life.Attempt running = life.phase == Phase.STREAMING ? life.out : null;
-        life.step(Phase.Step.CLIENT_GONE);
+        life.step(step);
         events.add(new ClientGone(life.decideId));
         if (running != null) {
             // A stream that nobody reads ends; Decide leaves that to whoever carries it.
@@ -109,6 +117,27 @@
         drain();
     }
 
+    /**
+     * A client takes nothing of its answer for now, or takes it again. While it does not, its engine is held back, and
+     * is not to blame for its silence; a client that takes nothing for too long is given up.
+     */
+    public void clientBlocked(long time, long client, boolean blocked) {
+        at(time);
+        Life life = byClient.get(client);
+        if (life == null || blocked == life.blockedSince > 0) {
+            return;
+        }
+        if (blocked) {
+            life.blockedSince = Math.max(1, now);
+            alarms.set(now + settings.stallMicros(), new Blocked(life, life.blockedSince));
+        } else {
+            life.blockedSince = 0;
+            if (life.out != null) {
+                life.out.heardAt = now;
+            }
+        }
+    }
+
     /** A read ended well. */
     public void readDone(long time, AttemptId id, String state, long kept, Load load) {
         at(time);
@@ -250,15 +279,8 @@
         at(time);
         draining = true;
         for (Life life : List.copyOf(byClient.values())) {
-            Life.Attempt running = life.out;
-            boolean streams = life.phase == Phase.STREAMING;
-            life.step(Phase.Step.FAIL);
             finish(life, new Answer.Failed(why, false));
-            events.add(new ClientGone(life.decideId));
-            if (streams && running != null) {
-                drop(life, running, Outcome.CANCELLED);
-            }
-            drain();
+            abandon(life, Phase.Step.FAIL);
         }
     }
 
@@ -320,6 +342,10 @@
             silent(s);
         } else if (alarm instanceof Expiry e) {
             expired(e.life());
+        } else if (alarm instanceof Blocked b && !b.life().finished && b.life().blockedSince == b.since()) {
+            finish(b.life(), new Answer.Stalled("the client took nothing of its answer for "
+                    + settings.stallMicros() / 1000 + " ms"));
+            abandon(b.life(), Phase.Step.CLIENT_GONE);
         }
     }
 
@@ -327,6 +353,10 @@
         if (s.attempt().ended) {
             return;
         }
+        if (s.life().blockedSince > 0) {
+            lookAt(Long.MAX_VALUE, s);
+            return;
+        }
         long due = s.attempt().heardAt + liveness.patience(s.attempt().kind);
         if (now < due) {
             lookAt(due, s);
--- a/core/src/main/java/sorrelhoist/core/life/RouterSettings.java
+++ b/core/src/main/java/sorrelhoist/core/life/RouterSettings.java
@@ -13,9 +13,10 @@
  * @param deadlinesPer1000 for each class: added for each 1,000 prompt tokens, in microseconds
  * @param marginMicros by how much answers come before a client's time is up: the way back to it
  * @param resumes whether a broken stream goes on elsewhere, where its class is safe to repeat
+ * @param stallMicros how long a client may take nothing of a running answer
  * @param maxOpen requests that may be open at once; more are refused at once
  * @param seed of all randomness
  */
 public record RouterSettings(String name, long incarnation, Settings decide, List<Long> deadlines,
-        List<Long> deadlinesPer1000, long marginMicros, boolean resumes, int maxOpen, long seed) {
+        List<Long> deadlinesPer1000, long marginMicros, boolean resumes, long stallMicros, int maxOpen, long seed) {
 }
--- a/edge/src/main/java/sorrelhoist/edge/Edge.java
+++ b/edge/src/main/java/sorrelhoist/edge/Edge.java
@@ -2,10 +2,12 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
+import io.opentelemetry.api.OpenTelemetry;
 import java.io.IOException;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sorrelhoist.core.members.EngineTable;
@@ -25,17 +27,30 @@
     private final RouterLoop loop;
     private final Engines engines;
     private final PlannerLink planner;
+    private final Tracing tracing;
     private final Set<Http2Connection> clients = ConcurrentHashMap.newKeySet();
     private Channel listener;
     private volatile boolean draining;
+    private final AtomicBoolean stopped = new AtomicBoolean();
 
     /**
-     * Makes an edge; {@link #start} starts it.
+     * Makes an edge that traces nothing; {@link #start} starts it.
      *
      * @param settings what it is told
      */
     public Edge(EdgeSettings settings) {
+        this(settings, null);
+    }
+
+    /**
+     * Makes an edge; {@link #start} starts it.
+     *
+     * @param settings what it is told
+     * @param telemetry takes its spans; null for none
+     */
+    public Edge(EdgeSettings settings, OpenTelemetry telemetry) {
         this.settings = settings;
+        this.tracing = new Tracing(telemetry);
         EdgeSettings.ServingSettings s = settings.serving();
         long incarnation = System.currentTimeMillis();
         network = Net.loops(s.threads(), "edge-net");
@@ -43,7 +58,7 @@
         EngineTable table = new EngineTable(settings.zones(),
                 settings.kinds().stream().map(EdgeSettings.KindSettings::name).toList());
         engines = new Engines(settings.name(), loop, network, table, new GrpcChannel.Options(
-                s.connectionsPerEngine(), s.dialMs() * 1000, s.idleMs() * 1000, 1 << 20, Http2Limits.CLIENT));
+                s.connectionsPerEngine(), s.dialMs() * 1000, s.idleMs() * 1000, 1 << 20, Http2Limits.CLIENT), tracing);
         planner = new PlannerLink(settings, incarnation, loop, table, network.next());
         loop.engines(order -> {
             engines.carry(order);
@@ -53,7 +68,7 @@
 
     /** Listens, and looks for its planner. {@return this} */
     public Edge start() throws IOException {
-        InferenceApi api = new InferenceApi(settings, loop, () -> loop.ready() && !draining);
+        InferenceApi api = new InferenceApi(settings, loop, tracing, () -> loop.ready() && !draining);
         GrpcServer server = api.server(settings.serving().maxPromptBytes() + MESSAGE_OVERHEAD);
         Http2Limits limits = Http2Limits.SERVER.withMaxStreams(settings.serving().streamsPerConnection());
         listener = Net.listen(network, settings.port(), () -> Http2Connection.server(limits, server, this));
@@ -133,6 +148,9 @@
 
     /** Stops at once. */
     public void stop() {
+        if (stopped.getAndSet(true)) {
+            return;
+        }
         if (listener != null) {
             listener.close();
         }
--- a/edge/src/main/java/sorrelhoist/edge/EdgeSettings.java
+++ b/edge/src/main/java/sorrelhoist/edge/EdgeSettings.java
@@ -20,11 +20,13 @@
  * @param limits what is permitted
  * @param rules the rules' figures
  * @param serving how clients and engines are served
+ * @param traceShare share of requests whose spans are logged, 0 for none; clients that sample decide for theirs
  * @param seed of all randomness
  */
 public record EdgeSettings(String name, String zone, List<String> zones, int port, String planner, String model,
         int routers, List<ClassSettings> classes, List<TenantSettings> tenants, List<KindSettings> kinds,
-        LimitSettings limits, RuleSettings rules, ServingSettings serving, long seed) {
+        LimitSettings limits, RuleSettings rules, ServingSettings serving, double traceShare,
+        long seed) {
     /**
      * A request class.
      *
@@ -98,6 +100,7 @@
      *
      * @param marginMs by how much answers come before a client's time is up
      * @param resumes whether broken streams go on elsewhere
+     * @param stallMs how long a client may take nothing of a running answer
      * @param maxOpen requests open at once
      * @param defaultMaxTokens answered at most, where a client did not say
      * @param mostMaxTokens that a client may ask for
@@ -109,7 +112,7 @@
      * @param streamsPerConnection that a client may have open on one connection
      * @param drainMs for running answers when the edge is stopped
      */
-    public record ServingSettings(long marginMs, boolean resumes, int maxOpen, int defaultMaxTokens,
+    public record ServingSettings(long marginMs, boolean resumes, long stallMs, int maxOpen, int defaultMaxTokens,
             int mostMaxTokens, int maxPromptBytes, int threads, int connectionsPerEngine, long dialMs, long idleMs,
             int streamsPerConnection, long drainMs) {
     }
@@ -136,7 +139,7 @@
         return new RouterSettings(name, incarnation, decide,
                 classes.stream().map(c -> c.deadlineMs() * 1000).toList(),
                 classes.stream().map(c -> c.deadlineMsPer1000() * 1000).toList(), serving.marginMs() * 1000,
-                serving.resumes(), serving.maxOpen(), seed ^ incarnation);
+                serving.resumes(), serving.stallMs() * 1000, serving.maxOpen(), seed ^ incarnation);
     }
 
     private static String upper(String word) {
--- a/edge/src/main/java/sorrelhoist/edge/Engines.java
+++ b/edge/src/main/java/sorrelhoist/edge/Engines.java
@@ -10,6 +10,7 @@
 import sorrelhoist.Routing.Load;
 import sorrelhoist.Routing.Outcome;
 import sorrelhoist.core.life.AttemptId;
+import sorrelhoist.core.life.Call;
 import sorrelhoist.core.life.Order;
 import sorrelhoist.core.members.EngineTable;
 import sorrelhoist.protocol.engine.DecodeEvent;
@@ -34,7 +35,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Engines.class);
     private static final long MAX_HOP = 3_600_000_000L;
 
-    private record Flight(GrpcChannel channel, ClientCall call) {
+    private record Flight(GrpcChannel channel, ClientCall call, Object span) {
     }
 
     private final String edge;
@@ -42,10 +43,13 @@
     private final EventLoopGroup network;
     private final EngineTable table;
     private final GrpcChannel.Options options;
+    private final Tracing tracing;
     private final Map<String, GrpcChannel> channels = new HashMap<>();
     private final Map<AttemptId, Flight> flights = new HashMap<>();
 
-    Engines(String edge, RouterLoop loop, EventLoopGroup network, EngineTable table, GrpcChannel.Options options) {
+    Engines(String edge, RouterLoop loop, EventLoopGroup network, EngineTable table, GrpcChannel.Options options,
+            Tracing tracing) {
+        this.tracing = tracing;
         this.edge = edge;
         this.loop = loop;
         this.network = network;
@@ -62,6 +66,7 @@
         } else if (order instanceof Order.Drop o) {
             Flight flight = flights.remove(o.attempt());
             if (flight != null) {
+                tracing.attemptEnded(flight.span(), "dropped");
                 flight.channel().loop().execute(flight.call()::cancel);
             }
         } else if (order instanceof Order.Reserve o) {
@@ -102,16 +107,23 @@
         return new Headers().add("grpc-timeout", Timeouts.format(left));
     }
 
-    private void fly(AttemptId id, String engine, String path, Headers metadata, byte[] request, Answers answers) {
+    private void fly(AttemptId id, String engine, String path, Call asked, String name, long until, byte[] request,
+            Answers answers) {
         GrpcChannel channel = channel(engine);
         if (channel == null) {
             loop.post(r -> r.attemptLost(loop.now(), id, Outcome.CONNECT_FAILED, 0, Load.NONE));
             return;
         }
         answers.on = channel.loop();
+        Headers metadata = until(until);
+        if (asked.previousAttempts() > 0) {
+            metadata.add("grpc-previous-rpc-attempts", Integer.toString(asked.previousAttempts()));
+        }
+        Object span = tracing.attempt(asked.trace(), path.equals(EngineApi.PREFILL) ? "prefill" : "decode", engine,
+                name, id.number(), metadata);
         ClientCall call = channel.call(path, metadata, answers);
         call.sendLast(request);
-        flights.put(id, new Flight(channel, call));
+        flights.put(id, new Flight(channel, call, span));
         channel.loop().execute(() -> channel.start(call));
     }
 
@@ -127,7 +139,8 @@
     private void read(Order.Read o) {
         PrefillRequest request = new PrefillRequest(o.name(), o.call().clientId(), edge, o.attempt().number(),
                 o.prompt(), (int) o.promptTokens(), o.call().maxTokens(), o.call().cls());
-        fly(o.attempt(), o.engine(), EngineApi.PREFILL, until(o.until()), request.bytes(), new Reading(o.attempt()));
+        fly(o.attempt(), o.engine(), EngineApi.PREFILL, o.call(), o.name(), o.until(), request.bytes(),
+                new Reading(o.attempt()));
     }
 
     private void write(Order.Write o) {
@@ -136,7 +149,8 @@
         DecodeRequest request = new DecodeRequest(o.name(), o.call().clientId(), edge, o.attempt().number(),
                 alone ? "" : o.state().state(), readerAddress, alone ? o.prompt() : "", (int) o.promptTokens(),
                 o.call().maxTokens(), o.fromToken(), o.place(), o.call().cls());
-        fly(o.attempt(), o.engine(), EngineApi.DECODE, until(o.until()), request.bytes(), new Writing(o.attempt()));
+        fly(o.attempt(), o.engine(), EngineApi.DECODE, o.call(), o.name(), o.until(), request.bytes(),
+                new Writing(o.attempt()));
     }
 
     private void reserve(Order.Reserve o) {
@@ -210,10 +224,12 @@
                     return;
                 }
                 boolean ok = end == ClientCall.End.STATUS && status.isOk();
-                if (!ok || !done(loop.now(), r, load)) {
+                Outcome outcome = ok ? Outcome.ERROR : Outcomes.of(status, end);
+                boolean done = ok && done(loop.now(), r, load);
+                tracing.attemptEnded(flight.span(), done ? "DONE" : outcome.toString());
+                if (!done) {
                     boolean noState = Outcomes.isMissingState(status, end);
-                    r.attemptLost(loop.now(), id, ok ? Outcome.ERROR : Outcomes.of(status, end), noState ? 1 : 0,
-                            load);
+                    r.attemptLost(loop.now(), id, outcome, noState ? 1 : 0, load);
                 }
             });
         }
@@ -222,7 +238,9 @@
         void nonsense(ClientCall call) {
             call.cancel();
             loop.post(r -> {
-                if (flights.remove(id) != null) {
+                Flight flight = flights.remove(id);
+                if (flight != null) {
+                    tracing.attemptEnded(flight.span(), "nonsense");
                     r.attemptLost(loop.now(), id, Outcome.ERROR, 0, Load.NONE);
                 }
             });
--- a/edge/src/main/java/sorrelhoist/edge/InferenceApi.java
+++ b/edge/src/main/java/sorrelhoist/edge/InferenceApi.java
@@ -26,12 +26,14 @@
     private final EdgeSettings settings;
     private final Requests requests;
     private final RouterLoop loop;
+    private final Tracing tracing;
     private final BooleanSupplier serving;
 
-    InferenceApi(EdgeSettings settings, RouterLoop loop, BooleanSupplier serving) {
+    InferenceApi(EdgeSettings settings, RouterLoop loop, Tracing tracing, BooleanSupplier serving) {
         this.settings = settings;
         this.requests = new Requests(settings);
         this.loop = loop;
+        this.tracing = tracing;
         this.serving = serving;
     }
 
@@ -117,6 +119,7 @@
     private abstract class Asked implements ServerCall.Listener, Client {
         final ServerCall call;
         String id = "";
+        private Object trace;
         private boolean submitted;
         private boolean over;
 
@@ -135,7 +138,9 @@
             try {
                 InferRequest request = InferRequest.parse(message);
                 id = request.id();
-                Call asked = requests.call(request, call.timeoutMicros());
+                int before = previousAttempts();
+                trace = tracing.request(call.headers(), before);
+                Call asked = requests.call(request, call.timeoutMicros(), before, trace);
                 loop.submit(asked, this);
             } catch (ProtoException e) {
                 end(new Status(Code.INVALID_ARGUMENT, "the request is no ModelInferRequest: " + e.getMessage()),
@@ -156,6 +161,7 @@
         public void cancelled(String why) {
             if (!over) {
                 over = true;
+                tracing.requestEnded(trace, "Cancelled");
                 loop.gone(this);
             }
         }
@@ -163,10 +169,17 @@
         private void end(Status status, Headers trailers) {
             if (!over) {
                 over = true;
+                tracing.requestEnded(trace, status.isOk() ? "Served" : status.code().toString());
                 call.close(status, trailers);
             }
         }
 
+        /** How often the client's library has tried before, where it says so. */
+        private int previousAttempts() {
+            String said = call.headers().get("grpc-previous-rpc-attempts", "0");
+            return said.matches("[0-9]{1,6}") ? Integer.parseInt(said) : 0;
+        }
+
         abstract void give(String text, Runnable credit);
 
         abstract void whole(int tokens);
@@ -193,6 +206,10 @@
                     Headers hint = r.backoffMicros() <= 0 ? null : new Headers().add("grpc-retry-pushback-ms",
                             Long.toString((r.backoffMicros() + 999) / 1000));
                     end(new Status(Code.RESOURCE_EXHAUSTED, "refused for now: a repeat is harmless"), hint);
+                } else if (answer instanceof Answer.Stalled) {
+                    over = true;
+                    tracing.requestEnded(trace, "Stalled");
+                    call.abort();
                 } else if (answer instanceof Answer.Failed f) {
                     end(new Status(f.late() ? Code.DEADLINE_EXCEEDED : Code.UNAVAILABLE, f.why()), null);
                 }
@@ -222,12 +239,18 @@
                 credit.run();
             } else {
                 // A slow reader: its engine gets no more credit, so what waits here stays bounded.
+                if (owed.isEmpty()) {
+                    loop.blocked(this, true);
+                }
                 owed.add(credit);
             }
         }
 
         @Override
         public void writable() {
+            if (!owed.isEmpty()) {
+                loop.blocked(this, false);
+            }
             while (!owed.isEmpty()) {
                 owed.poll().run();
             }
--- a/edge/src/main/java/sorrelhoist/edge/Requests.java
+++ b/edge/src/main/java/sorrelhoist/edge/Requests.java
@@ -38,7 +38,7 @@
         this.settings = settings;
     }
 
-    Call call(InferRequest r, long timeoutMicros) throws Bad {
+    Call call(InferRequest r, long timeoutMicros, int previousAttempts, Object trace) throws Bad {
         if (!r.modelName().equals(settings.model())) {
             throw new Bad(Code.NOT_FOUND, "no model \"" + cut(r.modelName()) + "\": ask for \"" + settings.model()
                     + "\"");
@@ -56,7 +56,8 @@
             throw bad("the request's id is longer than " + MAX_NAME + " characters");
         }
         return new Call(r.id(), name(p, "class", classes), name(p, "tenant", tenants), text(p, "session"), prefix,
-                prefix == null ? 0 : prefixTokens, prompt, tokens, (int) most, Math.max(0, timeoutMicros));
+                prefix == null ? 0 : prefixTokens, prompt, tokens, (int) most, Math.max(0, timeoutMicros),
+                previousAttempts, trace);
     }
 
     private String prompt(InferRequest r) throws Bad {
--- a/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
+++ b/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
@@ -104,6 +104,15 @@
         return is == null ? -1 : is ? 1 : 0;
     }
 
+    void blocked(Client client, boolean blocked) {
+        post(r -> {
+            Long number = numbers.get(client);
+            if (number != null) {
+                r.clientBlocked(clock.now(), number, blocked);
+            }
+        });
+    }
+
     void members(ListForm form, List<Server> servers, long now) {
         if (form == ListForm.COMPLETE) {
             serving.replaceAll((id, is) -> false);
--- /dev/null
+++ b/edge/src/main/java/sorrelhoist/edge/Tracing.java
@@ -0,0 +1,89 @@
+package sorrelhoist.edge;
+
+import io.opentelemetry.api.OpenTelemetry;
+import io.opentelemetry.api.common.AttributeKey;
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import io.opentelemetry.api.trace.StatusCode;
+import io.opentelemetry.api.trace.Tracer;
+import io.opentelemetry.api.trace.propagation.W3CTraceContextPropagator;
+import io.opentelemetry.context.Context;
+import io.opentelemetry.context.propagation.TextMapGetter;
+import java.util.List;
+import sorrelhoist.protocol.hpack.Headers;
+
+/**
+ * A span for each request and one for each attempt, under the client's own trace (W3C Trace Context). Where it is off,
+ * the client's header is passed on as it came and nothing else is done.
+ */
+final class Tracing {
+    private static final String TRACEPARENT = "traceparent";
+    private static final AttributeKey<String> OUTCOME = AttributeKey.stringKey("sorrelhoist.outcome");
+    private static final AttributeKey<String> ENGINE = AttributeKey.stringKey("sorrelhoist.engine");
+    private static final AttributeKey<String> NAME = AttributeKey.stringKey("sorrelhoist.request");
+    private static final AttributeKey<Long> NUMBER = AttributeKey.longKey("sorrelhoist.attempt");
+    private static final AttributeKey<Long> TRIED = AttributeKey.longKey("rpc.grpc.previous_attempts");
+    private static final TextMapGetter<Headers> GET = new TextMapGetter<>() {
+        @Override
+        public Iterable<String> keys(Headers headers) {
+            return List.of(TRACEPARENT, "tracestate");
+        }
+
+        @Override
+        public String get(Headers headers, String key) {
+            return headers == null ? null : headers.get(key);
+        }
+    };
+
+    private final Tracer tracer;
+
+    /** Makes one; null for off. */
+    Tracing(OpenTelemetry telemetry) {
+        this.tracer = telemetry == null ? null : telemetry.getTracer("sorrelhoist.edge");
+    }
+
+    /** {@return what stands for a request's span: a context, or where it is off the client's header or null} */
+    Object request(Headers headers, int previousAttempts) {
+        if (tracer == null) {
+            return headers.get(TRACEPARENT);
+        }
+        Context parent = W3CTraceContextPropagator.getInstance().extract(Context.root(), headers, GET);
+        Span span = tracer.spanBuilder("infer").setParent(parent).setSpanKind(SpanKind.SERVER)
+                .setAttribute(TRIED, (long) previousAttempts).startSpan();
+        return parent.with(span);
+    }
+
+    void requestEnded(Object request, String outcome) {
+        if (request instanceof Context c) {
+            end(Span.fromContext(c), outcome, outcome.equals("Served"));
+        }
+    }
+
+    /** {@return what stands for an attempt's span; puts its trace context into the metadata} */
+    Object attempt(Object request, String what, String engine, String name, int number, Headers metadata) {
+        if (request instanceof String header) {
+            metadata.add(TRACEPARENT, header);
+        }
+        if (!(request instanceof Context c)) {
+            return null;
+        }
+        Span span = tracer.spanBuilder(what).setParent(c).setSpanKind(SpanKind.CLIENT).setAttribute(ENGINE, engine)
+                .setAttribute(NAME, name).setAttribute(NUMBER, (long) number).startSpan();
+        W3CTraceContextPropagator.getInstance().inject(c.with(span), metadata, (h, k, v) -> h.add(k, v));
+        return span;
+    }
+
+    void attemptEnded(Object attempt, String outcome) {
+        if (attempt instanceof Span span) {
+            end(span, outcome, outcome.equals("READ") || outcome.equals("DONE"));
+        }
+    }
+
+    private static void end(Span span, String outcome, boolean good) {
+        span.setAttribute(OUTCOME, outcome);
+        if (!good) {
+            span.setStatus(StatusCode.ERROR, outcome);
+        }
+        span.end();
+    }
+}
--- a/protocol/src/main/java/sorrelhoist/protocol/grpc/ServerCall.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/grpc/ServerCall.java
@@ -113,10 +113,10 @@
         stream.headers(last, true);
     }
 
-    /** Ends the call without a word, as only a broken program would. */
+    /** Ends the call without a status: for a client that takes nothing, so that no status could reach it. */
     public void abort() {
         closed = true;
-        stream.reset(ErrorCode.INTERNAL_ERROR);
+        stream.reset(ErrorCode.CANCEL);
     }
 
     @Override
