--- a/app/src/main/java/sorrelhoist/app/command/MeasureCommand.java
+++ b/app/src/main/java/sorrelhoist/app/command/MeasureCommand.java
@@ -5,6 +5,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import sorrelhoist.lab.measure.PathMeasure;
+import sorrelhoist.lab.measure.StreamMeasure;
 import sorrelhoist.lab.run.ProcessFleet;
 
 /** Measures one edge on this machine. */
@@ -17,6 +18,19 @@
     @Option(names = "--tokens", defaultValue = "8", description = "that each may answer")
     int tokens;
 
+    @Command(name = "streams", description = "Measures how many streams of 20 tokens a second one edge carries.")
+    int streams(@Option(names = "--levels", split = ",", defaultValue = "250,500,1000,2000,4000,8000",
+            description = "numbers of streams") int[] levels,
+            @Option(names = "--slow", defaultValue = "0", description = "share of clients that read slowly")
+            double slow) throws IOException {
+        try (ProcessFleet fleet = new ProcessFleet(PathMeasure.fleet(), Fleets.folder("streams"), Fleets.self(), 0,
+                StreamMeasure.STEADY)) {
+            fleet.start();
+            new StreamMeasure(fleet, System.out::println).run(levels, slow);
+        }
+        return 0;
+    }
+
     @Override
     public Integer call() throws IOException {
         if (requests < 4 || concurrency < 1 || tokens < 1) {
--- a/lab/src/main/java/sorrelhoist/lab/load/InferClient.java
+++ b/lab/src/main/java/sorrelhoist/lab/load/InferClient.java
@@ -69,7 +69,19 @@
      * @return how it ended, and a handle that cancels it when cancelled
      */
     public CompletableFuture<Result> ask(Ask ask, BiConsumer<Integer, String> piece) {
-        Answer answer = new Answer(piece);
+        return ask(ask, piece, 0);
+    }
+
+    /**
+     * Asks as a client that reads slowly: it gives leave for more only after a pause.
+     *
+     * @param ask what
+     * @param piece told of each piece of text and its place, on the event loop
+     * @param pauseMillis before it takes each message; 0 for at once
+     * @return how it ended, and a handle that cancels it when cancelled
+     */
+    public CompletableFuture<Result> ask(Ask ask, BiConsumer<Integer, String> piece, long pauseMillis) {
+        Answer answer = new Answer(piece, channel.loop(), pauseMillis);
         Headers metadata = ask.timeoutMicros() > 0
                 ? new Headers().add("grpc-timeout", Timeouts.format(ask.timeoutMicros())) : null;
         ClientCall call = new ClientCall(ModelMessages.SERVICE + "ModelStreamInfer", metadata, MAX_MESSAGE, answer);
@@ -119,6 +131,8 @@
     private static final class Answer implements ClientCall.Listener {
         final CompletableFuture<Result> result = new CompletableFuture<>();
         private final BiConsumer<Integer, String> piece;
+        private final EventLoop loop;
+        private final long pauseMillis;
         private final StringBuilder text = new StringBuilder();
         private final long start = System.nanoTime();
         private int tokens;
@@ -126,8 +140,10 @@
         private boolean isFinal;
         private long declared = -1;
 
-        Answer(BiConsumer<Integer, String> piece) {
+        Answer(BiConsumer<Integer, String> piece, EventLoop loop, long pauseMillis) {
             this.piece = piece;
+            this.loop = loop;
+            this.pauseMillis = pauseMillis;
         }
 
         private long since() {
@@ -136,7 +152,11 @@
 
         @Override
         public void message(ClientCall call, byte[] message, int wireBytes) {
-            call.credit(wireBytes);
+            if (pauseMillis > 0) {
+                loop.schedule(() -> call.credit(wireBytes), pauseMillis, TimeUnit.MILLISECONDS);
+            } else {
+                call.credit(wireBytes);
+            }
             try {
                 InferResponse r = InferResponse.parseStreamed(message);
                 if (r.isFinal()) {
--- a/lab/src/main/java/sorrelhoist/lab/measure/PathMeasure.java
+++ b/lab/src/main/java/sorrelhoist/lab/measure/PathMeasure.java
@@ -117,7 +117,7 @@
     }
 
     /** User and system time of a process, from the kernel. */
-    private static long cpuMicros(long pid) throws IOException {
+    static long cpuMicros(long pid) throws IOException {
         String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
         String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
         return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * 1_000_000 / CLOCK_TICKS;
--- /dev/null
+++ b/protocol/src/test/java/sorrelhoist/protocol/grpc/GrpcChannelTest.java
@@ -0,0 +1,150 @@
+package sorrelhoist.protocol.grpc;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoopGroup;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import sorrelhoist.protocol.hpack.Headers;
+import sorrelhoist.protocol.http2.ErrorCode;
+import sorrelhoist.protocol.http2.Http2Connection;
+import sorrelhoist.protocol.http2.Http2Limits;
+import sorrelhoist.protocol.net.Net;
+
+/** Connections of a channel over real sockets: opened as needed, capped, closed when idle, and what their ends prove. */
+class GrpcChannelTest {
+    private static final String PATH = "/s/m";
+    private final EventLoopGroup loops = Net.loops(1, "channel-test");
+    private final Set<Http2Connection> accepted = ConcurrentHashMap.newKeySet();
+    private final List<ServerCall> held = new ArrayList<>();
+    private Channel listener;
+
+    private GrpcChannel channel(int streams, int connections, long idleMicros) throws Exception {
+        GrpcServer server = new GrpcServer(1000).unary(PATH, (call, message) -> {
+            if (message.length > 0) {
+                held.add(call);
+            } else {
+                call.send(message);
+                call.close(Status.OK, null);
+            }
+        });
+        listener = Net.listen(loops, 0, () -> Http2Connection.server(Http2Limits.SERVER.withMaxStreams(streams), server,
+                new Http2Connection.Watcher() {
+                    @Override
+                    public void ready(Http2Connection c) {
+                        accepted.add(c);
+                    }
+
+                    @Override
+                    public void closed(Http2Connection c, String why) {
+                        accepted.remove(c);
+                    }
+                }));
+        return new GrpcChannel(loops.next(), Net.LOOPBACK + ":" + Net.port(listener),
+                new GrpcChannel.Options(connections, 200_000, idleMicros, 1000, Http2Limits.CLIENT));
+    }
+
+    @AfterEach
+    void stop() {
+        listener.close();
+        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    private CompletableFuture<ClientCall.End> start(GrpcChannel channel, int size) {
+        CompletableFuture<ClientCall.End> end = new CompletableFuture<>();
+        ClientCall call = channel.call(PATH, null, new ClientCall.Listener() {
+            @Override
+            public void message(ClientCall c, byte[] message, int wireBytes) {
+                c.credit(wireBytes);
+            }
+
+            @Override
+            public void closed(ClientCall c, Status status, Headers trailers, ClientCall.End how) {
+                end.complete(how);
+            }
+        });
+        call.sendLast(new byte[size]);
+        channel.loop().execute(() -> channel.start(call));
+        return end;
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end);
+            Thread.onSpinWait();
+        }
+    }
+
+    private int heldCalls() {
+        return CompletableFuture.supplyAsync(held::size, loops.next()).join();
+    }
+
+    @Test
+    void connectionsOpenAsStreamsRunOutAndNoFurtherThanTheCap() throws Exception {
+        GrpcChannel channel = channel(2, 3, 0);
+        List<CompletableFuture<ClientCall.End>> all = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            all.add(start(channel, 1));
+        }
+        await(() -> heldCalls() == 6);
+        assertEquals(3, accepted.size());
+        loops.next().execute(() -> List.copyOf(held).forEach(c -> c.close(Status.OK, null)));
+        await(() -> heldCalls() == 8);
+        loops.next().execute(() -> List.copyOf(held).forEach(c -> c.close(Status.OK, null)));
+        for (var end : all) {
+            assertEquals(ClientCall.End.STATUS, end.get(5, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void idleConnectionsAreClosedAndOpenedAgain() throws Exception {
+        GrpcChannel channel = channel(10, 2, 50_000);
+        assertEquals(ClientCall.End.STATUS, start(channel, 0).get(5, TimeUnit.SECONDS));
+        await(accepted::isEmpty);
+        assertEquals(ClientCall.End.STATUS, start(channel, 0).get(5, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void aPeerThatDrainsLosesNothingAndGetsNothingNew() throws Exception {
+        GrpcChannel channel = channel(10, 2, 0);
+        var running = start(channel, 1);
+        await(() -> heldCalls() == 1);
+        Http2Connection first = accepted.iterator().next();
+        loops.next().execute(first::drain);
+        await(() -> CompletableFuture.supplyAsync(channel::connections, loops.next()).join() == 0);
+        assertEquals(ClientCall.End.STATUS, start(channel, 0).get(5, TimeUnit.SECONDS));
+        loops.next().execute(() -> held.get(0).close(Status.OK, null));
+        assertEquals(ClientCall.End.STATUS, running.get(5, TimeUnit.SECONDS));
+        await(() -> !accepted.contains(first));
+    }
+
+    @Test
+    void whatBreaksAfterItWasSentMayHaveRun() throws Exception {
+        GrpcChannel channel = channel(10, 2, 0);
+        var running = start(channel, 1);
+        await(() -> heldCalls() == 1);
+        loops.next().execute(() -> accepted.iterator().next().close(ErrorCode.INTERNAL_ERROR, "test"));
+        assertEquals(ClientCall.End.BROKEN, running.get(5, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void aSocketThatSpeaksNoHttp2IsNoConnection() throws Exception {
+        listener = Net.listen(loops, 0, ChannelInboundHandlerAdapter::new);
+        GrpcChannel channel = new GrpcChannel(loops.next(), Net.LOOPBACK + ":" + Net.port(listener),
+                new GrpcChannel.Options(2, 100_000, 0, 1000, Http2Limits.CLIENT));
+        assertEquals(ClientCall.End.NOT_SENT, start(channel, 1).get(5, TimeUnit.SECONDS));
+        listener.close().sync();
+        assertEquals(ClientCall.End.NOT_SENT, start(channel, 1).get(5, TimeUnit.SECONDS));
+    }
+}
