--- a/app/src/test/java/sorrelhoist/app/HardCasesTest.java
+++ b/app/src/test/java/sorrelhoist/app/HardCasesTest.java
@@ -19,6 +19,8 @@
 
 /** What goes wrong when several things happen at once. */
 class HardCasesTest {
+    @org.junit.jupiter.api.io.TempDir
+    java.nio.file.Path traces;
     private LocalFleet fleet;
 
     @AfterEach
@@ -104,6 +106,26 @@
         fleet.nothingLeft(0);
     }
 
+    @Test
+    void aStormOfFailuresIsNotMadeWorseByRepeats() throws Exception {
+        fleet = new LocalFleet(2, 1, 1, true, traces, null);
+        fleet.tell("r1", "errors 1 60000");
+        fleet.tell("r2", "errors 1 60000");
+        long before = reads();
+        int asked = 200;
+        for (var f : burst(0, asked, "s")) {
+            assertTrue(f.get(6, TimeUnit.SECONDS).refused());
+        }
+        long sends = reads() - before;
+        // 25 saved, 0.3 for each arrival, and the last fraction of a permit; without a budget it would be five each.
+        assertTrue(sends <= asked + 25 + 0.3 * asked + 1, sends + " sends for " + asked + " requests");
+        fleet.nothingLeft(0);
+    }
+
+    private long reads() throws java.io.IOException {
+        return sorrelhoist.lab.judge.Line.readAll(traces).stream().filter(l -> l.event().equals("prefill")).count();
+    }
+
     /** Sends bytes, and waits until the other side has hung up or answered. */
     private void send(int port, byte[] bytes) throws Exception {
         CompletableFuture<Void> over = new CompletableFuture<>();
