Let Decide export what it has learnt and take what is taught, as hints that fade

A router that starts finds out on clients' time which readers keep which texts and which servers are slow. known() gives the prefix table, health and learnt lines as data; learn() takes them aged: own evidence stays, replaced processes and unsound figures are passed over, no server becomes a candidate or is set aside by it, and nothing that a rule rests on is in it.

--- a/decide/src/main/java/sorrelhoist/Decide.java
+++ b/decide/src/main/java/sorrelhoist/Decide.java
@@ -55,6 +55,9 @@
     private static final double TELL_SPEND = 0.003; // and on messages to other routers
     private static final long TELL_LAG = 100_000; // a lag worth telling
     private static final int TELL_BYTES = 256; // of one message: receivers take no more
+    private static final long TAUGHT_FADE = 600_000_000; // in which what was taught is trusted a third
+    private static final double TAUGHT_BAD = 0.4; // of failures taught at most: one own failure then decides
+    private static final double TAUGHT_PAIRS = 10; // a taught line weighs no more: fifty own ones bury it
     // ---- Constants: holding, admission, guards ------------------------------------------------------------
     private static final double WRITER_JAM = 200_000; // a writer's lag behind the best that passes it over
     private static final long HOLD_STEP = 20_000; // between looks for a writer while a state waits
@@ -790,6 +793,73 @@
         });
     }
 
+    // ---- What a router knows, for its own next life or for another router ----------------------------
+
+    /** What own evidence has taught, the most recently used keys up to a number. */
+    public Knowledge known(long time, int mostKeys) {
+        List<Knowledge.Key> some = new ArrayList<>();
+        int skip = keys.size() - mostKeys;
+        for (Key k : keys.values()) {
+            if (skip-- <= 0) {
+                List<Knowledge.Holding> holders = new ArrayList<>();
+                k.holders.forEach((id, h) -> holders.add(new Knowledge.Holding(id,
+                        peers.containsKey(id) ? peers.get(id).since : 0, h.tokens)));
+                some.add(new Knowledge.Key(k.name, Math.max(0, time - k.used), k.uses, holders));
+            }
+        }
+        List<Knowledge.Health> health = new ArrayList<>();
+        peers.values().stream().filter(p -> p.heard > 0 || p.bad > 0).forEach(p -> health.add(
+                new Knowledge.Health(p.id, p.since, p.bad, p.slow, p.heard)));
+        return new Knowledge(some, health, readLines.stream().map(Line::sums).toList(), firstTokens.sums());
+    }
+
+    /**
+     * Takes what was taught, so much older now. Own evidence stays wherever there is any; what is old, or
+     * of a process that was replaced, is passed over. All of it is a hint: false, it costs locality or a
+     * retry, never a rule, as no server becomes a candidate by it and none is set aside.
+     */
+    public void learn(long time, Knowledge taught, long age) {
+        double trust = Math.exp(-age / (double) TAUGHT_FADE);
+        for (Knowledge.Key k : taught.keys()) {
+            long used = time - age - k.age();
+            boolean wanted = used > time - KEY_AGE && k.age() >= 0 && keys.size() < MAX_KEYS;
+            if (wanted && !keys.containsKey(k.name())) {
+                Key key = new Key(k.name());
+                key.used = used;
+                key.uses = Math.max(0, k.uses());
+                for (Knowledge.Holding h : k.holders()) {
+                    if (h.tokens() > 0 && sameProcess(h.server(), h.since())) {
+                        key.holders.put(h.server(), new Holder(h.tokens()));
+                    }
+                }
+                keys.put(k.name(), key);
+            }
+        }
+        for (Knowledge.Health h : taught.servers()) {
+            Peer p = peers.get(h.id());
+            boolean own = p == null || p.heard > 0 || p.bad > 0;
+            if (!own && h.sound() && sameProcess(h.id(), h.since())) {
+                p.bad = trust * Math.max(0, Math.min(TAUGHT_BAD, h.bad()));
+                p.slow = 1 + trust * (Math.max(0.1, Math.min(SLOW, h.slow())) - 1);
+            }
+        }
+        for (int i = 0; i < Math.min(readLines.size(), taught.reads().size()); i++) {
+            adopt(readLines.get(i), taught.reads().get(i), trust);
+        }
+        adopt(firstTokens, taught.firstTokens(), trust);
+    }
+
+    private boolean sameProcess(String id, long since) {
+        return peers.containsKey(id) && peers.get(id).since == since;
+    }
+
+    private static void adopt(Line own, Knowledge.Sums taught, double trust) {
+        double pairs = trust * Math.min(TAUGHT_PAIRS, taught.n());
+        if (taught.sound() && pairs > own.pairs()) {
+            own.adopt(taught, pairs);
+        }
+    }
+
     // ---- The list of servers ------------------------------------------------------------------------------
 
     private void members(Members e) {
--- a/decide/src/main/java/sorrelhoist/Line.java
+++ b/decide/src/main/java/sorrelhoist/Line.java
@@ -31,6 +31,24 @@
         xy = xy * decay + tokens * time;
     }
 
+    Knowledge.Sums sums() {
+        return new Knowledge.Sums(n, x, y, xx, xy);
+    }
+
+    /** Takes a taught line in place of its own, as if so many pairs had shown it. */
+    void adopt(Knowledge.Sums taught, double pairs) {
+        double scale = pairs / taught.n();
+        n = pairs;
+        x = taught.x() * scale;
+        y = taught.y() * scale;
+        xx = taught.xx() * scale;
+        xy = taught.xy() * scale;
+    }
+
+    double pairs() {
+        return n;
+    }
+
     double mean() {
         return y / n;
     }
--- a/decide/src/main/java/sorrelhoist/State.java
+++ b/decide/src/main/java/sorrelhoist/State.java
@@ -101,6 +101,13 @@
         final ArrayDeque<Long> seen = new ArrayDeque<>();
         long tokens;
 
+        Holder() {
+        }
+
+        Holder(long tokens) {
+            this.tokens = tokens;
+        }
+
         int sharers(long from) {
             while (!seen.isEmpty() && seen.peek() < from) {
                 seen.poll();
