--- a/core/src/main/java/sorrelhoist/core/life/Router.java
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import sorrelhoist.Decide;
+import sorrelhoist.Knowledge;
 import sorrelhoist.Routing.*;
 import sorrelhoist.core.time.Alarms;
 
@@ -269,6 +270,18 @@
         tell(time, new Members(form, servers));
     }
 
+    /** {@return what its own evidence has taught, with at most so many keys} */
+    public Knowledge known(long time, int mostKeys) {
+        at(time);
+        return decide.known(now, mostKeys);
+    }
+
+    /** Takes what was taught, so much older now. */
+    public void learn(long time, Knowledge taught, long age) {
+        at(time);
+        decide.learn(now, taught, age);
+    }
+
     /** Takes no new requests from now on: they are refused with a hint. */
     public void drainNow() {
         draining = true;
--- a/core/src/main/java/sorrelhoist/core/members/EngineTable.java
+++ b/core/src/main/java/sorrelhoist/core/members/EngineTable.java
@@ -100,6 +100,18 @@
         return k == null ? null : k.address();
     }
 
+    /** {@return the incarnation of an engine's process, or Long.MIN_VALUE} */
+    public long incarnation(String id) {
+        Known k = known.get(id);
+        return k == null ? Long.MIN_VALUE : k.incarnation();
+    }
+
+    /** {@return when an engine's process started, on this edge's clock, or Long.MIN_VALUE} */
+    public long since(String id) {
+        Known k = known.get(id);
+        return k == null ? Long.MIN_VALUE : k.since();
+    }
+
     /** {@return how many engines were ever told of} */
     public int size() {
         return known.size();
