--- /dev/null
+++ b/edge/src/test/java/sorrelhoist/edge/past/PastStoreTest.java
@@ -0,0 +1,163 @@
+package sorrelhoist.edge.past;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import sorrelhoist.core.know.PastFrames;
+
+/** A past that is killed at every point of every write, and one that is damaged or foreign. */
+class PastStoreTest {
+    private static final int STEPS = 12;
+
+    /** A disk in memory that is killed after so many bytes and operations. */
+    private static final class DyingDisk implements Disk {
+        private final Map<String, byte[]> files;
+        private int left;
+
+        DyingDisk(Map<String, byte[]> files, int left) {
+            this.files = files;
+            this.left = left;
+        }
+
+        /** {@return how much of so much still happens} */
+        private int spend(int amount) throws IOException {
+            if (left <= 0) {
+                throw new IOException("killed");
+            }
+            int part = Math.min(left, amount);
+            left -= part;
+            return part;
+        }
+
+        @Override
+        public byte[] read(String name) {
+            return files.get(name);
+        }
+
+        @Override
+        public void write(String name, byte[] bytes) throws IOException {
+            files.put(name, new byte[0]);
+            append(name, bytes);
+        }
+
+        @Override
+        public void append(String name, byte[] bytes) throws IOException {
+            byte[] old = files.getOrDefault(name, new byte[0]);
+            int part = spend(bytes.length);
+            byte[] grown = Arrays.copyOf(old, old.length + part);
+            System.arraycopy(bytes, 0, grown, old.length, part);
+            files.put(name, grown);
+            if (part < bytes.length) {
+                throw new IOException("killed");
+            }
+        }
+
+        @Override
+        public void truncate(String name, long length) throws IOException {
+            spend(1);
+            files.put(name, Arrays.copyOf(files.get(name), (int) length));
+        }
+
+        @Override
+        public void sync(String name) throws IOException {
+            spend(1);
+        }
+
+        @Override
+        public void rename(String from, String to) throws IOException {
+            spend(1);
+            byte[] moved = files.remove(from);
+            files.put(to, moved);
+        }
+    }
+
+    private static byte[] payload(int step) {
+        byte[] p = new byte[20 + step];
+        Arrays.fill(p, (byte) step);
+        return p;
+    }
+
+    /** Writes until it is killed. {@return the last step that was reported as written} */
+    private static int play(PastStore store) {
+        for (int step = 0; step < STEPS; step++) {
+            try {
+                if (step % 5 == 4) {
+                    store.snapshot(step, payload(step));
+                } else {
+                    store.append(step, payload(step));
+                }
+            } catch (IOException e) {
+                return step - 1;
+            }
+        }
+        return STEPS - 1;
+    }
+
+    @Test
+    void aKillAtAnyPointLeavesWhatWasReportedAsWritten() throws IOException {
+        int kills = 0;
+        for (int at = 1; ; at++) {
+            Map<String, byte[]> files = new HashMap<>();
+            int written = play(new PastStore(new DyingDisk(files, at)));
+            DyingDisk after = new DyingDisk(files, Integer.MAX_VALUE);
+            PastStore store = new PastStore(after);
+            List<PastFrames.Frame> frames = store.restore();
+            long newest = frames.stream().mapToLong(PastFrames.Frame::savedAt).max().orElse(-1);
+            assertTrue(newest >= written, "killed at " + at + ": step " + written + " is lost, newest " + newest);
+            frames.forEach(f -> assertArrayEquals(payload((int) f.savedAt()), f.payload()));
+            assertTrue(files.keySet().stream().noneMatch(n -> n.endsWith(".aside")), "killed at " + at);
+            store.append(100, payload(3));
+            assertEquals(100, new PastStore(after).restore().stream().mapToLong(PastFrames.Frame::savedAt).max()
+                    .orElse(-1));
+            kills++;
+            if (written == STEPS - 1) {
+                break;
+            }
+        }
+        assertTrue(kills > 500, "kills " + kills);
+    }
+
+    @Test
+    void anAppendThatFailsHalfwayHidesNothingThatFollows() throws IOException {
+        Map<String, byte[]> files = new HashMap<>();
+        DyingDisk disk = new DyingDisk(files, Integer.MAX_VALUE);
+        PastStore store = new PastStore(disk);
+        store.append(1, payload(1));
+        disk.left = 10;
+        try {
+            store.append(2, payload(2));
+        } catch (IOException expected) {
+            disk.left = Integer.MAX_VALUE;
+        }
+        store.append(3, payload(3));
+        assertTrue(new PastStore(disk).restore().stream().anyMatch(f -> f.savedAt() == 3));
+    }
+
+    @Test
+    void damagedAndForeignFilesAreSetAsideAndNeverFatal(@TempDir Path folder) throws IOException {
+        PastStore store = new PastStore(new FolderDisk(folder));
+        store.snapshot(1, payload(1));
+        store.append(2, payload(2));
+        store.append(3, payload(3));
+        byte[] log = Files.readAllBytes(folder.resolve("past.log"));
+        log[log.length - 1] ^= 1;
+        Files.write(folder.resolve("past.log"), log);
+        Files.writeString(folder.resolve("past.snapshot"), "somebody else's notes");
+        PastStore after = new PastStore(new FolderDisk(folder));
+        assertEquals(List.of(2L), after.restore().stream().map(PastFrames.Frame::savedAt).toList());
+        assertTrue(Files.exists(folder.resolve("past.snapshot.aside")));
+        assertTrue(Files.exists(folder.resolve("past.log.aside")));
+        after.append(9, payload(9));
+        assertEquals(1, new PastStore(new FolderDisk(folder)).restore().size());
+    }
+}
