Let an edge remember: its past is kept in a folder and taken at its next start

With pastFolder set, an edge writes what it knows as background work of the router's thread (requests first), on a disk thread of its own, and takes it after its first roster, the newest first. Engines' processes are matched by incarnation, as a new life's clock gives other start times.

Measured: a loopback test starts a second life from what the first wrote and finds the same reader and tokens for a session.

--- a/app/src/main/resources/templates/edge.libsonnet
+++ b/app/src/main/resources/templates/edge.libsonnet
@@ -48,5 +48,6 @@
     drainMs: 10000,
   },
   traceShare: 0,  // of requests whose spans go to the log; those that clients sample come on top
+  pastFolder: '',  // where it keeps what it knows for its next life; one folder for each edge
   seed: 1,
 }
--- a/app/src/test/java/sorrelhoist/app/StreamsTest.java
+++ b/app/src/test/java/sorrelhoist/app/StreamsTest.java
@@ -138,6 +138,41 @@
         assertEquals("the edge stops", r.status().message());
     }
 
+    @Test
+    void anEdgeThatIsKilledRemembersWhereTextsAreKept(@org.junit.jupiter.api.io.TempDir java.nio.file.Path folder)
+            throws Exception {
+        fleet = new LocalFleet(2, 1, 0);
+        fleet.past = folder.toString();
+        fleet.edges.add(new sorrelhoist.edge.Edge(fleet.edgeSettings("edge-1", true)).start());
+        LocalFleet.await("the edge", () -> InferenceProbe.served(fleet, 0));
+        sorrelhoist.lab.load.Ask ask = new sorrelhoist.lab.load.Ask("k", null, "session-7", "guide", 50,
+                "all that stands in the guide, and then some more. ".repeat(10), 4, 3_000_000);
+        assertTrue(fleet.client(0).ask(ask, (i, t) -> { }).get(5, TimeUnit.SECONDS).served());
+        var before = fleet.edges.get(0).known().join().keys().stream().filter(k -> k.name().equals("session-7"))
+                .findFirst().orElseThrow();
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (!remembers(folder, "session-7")) {
+            assertTrue(System.nanoTime() < end, "nothing was written");
+            Thread.sleep(50);
+        }
+        // Not stopped: the new one starts beside it from what is on disk, as after a kill.
+        fleet.edges.add(new sorrelhoist.edge.Edge(fleet.edgeSettings("edge-1", true)).start());
+        LocalFleet.await("the new edge to remember", () -> fleet.edges.get(1).known().join().keys().stream()
+                .anyMatch(k -> k.name().equals("session-7")));
+        var after = fleet.edges.get(1).known().join().keys().stream().filter(k -> k.name().equals("session-7"))
+                .findFirst().orElseThrow();
+        assertEquals(before.holders().get(0).server(), after.holders().get(0).server());
+        assertEquals(before.holders().get(0).tokens(), after.holders().get(0).tokens());
+    }
+
+    private static boolean remembers(java.nio.file.Path folder, String key) throws java.io.IOException {
+        java.nio.file.Path log = folder.resolve("past.log");
+        return java.nio.file.Files.exists(log) && sorrelhoist.core.know.PastKeeper.believe(Long.MAX_VALUE / 2,
+                sorrelhoist.core.know.PastFrames.read(java.nio.file.Files.readAllBytes(log)).frames().stream()
+                        .map(f -> new sorrelhoist.core.know.PastFrames.Frame(Long.MAX_VALUE / 2, f.payload())).toList())
+                .stream().anyMatch(m -> m.knowledge().keys().stream().anyMatch(k -> k.name().equals(key)));
+    }
+
     @Test
     void spansOfARequestAndItsAttemptsStandUnderTheClientsTrace() throws Exception {
         InMemorySpanExporter spans = InMemorySpanExporter.create();
--- a/edge/src/main/java/sorrelhoist/edge/Edge.java
+++ b/edge/src/main/java/sorrelhoist/edge/Edge.java
@@ -4,13 +4,20 @@
 import io.netty.channel.EventLoopGroup;
 import io.opentelemetry.api.OpenTelemetry;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sorrelhoist.Knowledge;
+import sorrelhoist.core.know.Processes;
 import sorrelhoist.core.members.EngineTable;
+import sorrelhoist.core.sched.Background;
+import sorrelhoist.edge.past.FolderDisk;
+import sorrelhoist.edge.past.PastWork;
 import sorrelhoist.protocol.grpc.GrpcChannel;
 import sorrelhoist.protocol.grpc.GrpcServer;
 import sorrelhoist.protocol.http2.Http2Connection;
@@ -22,12 +29,14 @@
     private static final Logger LOG = LoggerFactory.getLogger(Edge.class);
     private static final int MESSAGE_OVERHEAD = 64 << 10;
     private static final long LOOK_MILLIS = 20;
+    private static final Background.Job PAST = new Background.Job("past", 1, 50_000, 16 << 20, 10_000_000);
     private final EdgeSettings settings;
     private final EventLoopGroup network;
     private final RouterLoop loop;
     private final Engines engines;
     private final PlannerLink planner;
     private final Tracing tracing;
+    private final PastWork past;
     private final Set<Http2Connection> clients = ConcurrentHashMap.newKeySet();
     private Channel listener;
     private volatile boolean draining;
@@ -59,13 +68,47 @@
                 settings.kinds().stream().map(EdgeSettings.KindSettings::name).toList());
         engines = new Engines(settings.name(), loop, network, table, new GrpcChannel.Options(
                 s.connectionsPerEngine(), s.dialMs() * 1000, s.idleMs() * 1000, 1 << 20, Http2Limits.CLIENT), tracing);
-        planner = new PlannerLink(settings, incarnation, loop, table, network.next());
+        past = settings.pastFolder().isEmpty() ? null : openPast(settings.pastFolder());
+        // What is known of engines can only be taken once the engines themselves are.
+        planner = new PlannerLink(settings, incarnation, loop, table, network.next(), () -> recall(table));
         loop.engines(order -> {
             engines.carry(order);
             planner.carry(order);
         });
     }
 
+    private PastWork openPast(String folder) {
+        try {
+            return new PastWork(new FolderDisk(Path.of(folder)), loop.now());
+        } catch (IOException e) {
+            LOG.atWarn().addKeyValue("event", "past_unreadable").log("pastFolder {} cannot be used: {}", folder,
+                    e.toString());
+            return null;
+        }
+    }
+
+    /** Takes the own past, the newest first, and keeps it from then on; on the router's thread. */
+    private void recall(EngineTable table) {
+        if (past == null) {
+            return;
+        }
+        past.restore(loop.now()).forEach(m -> loop.learn(Processes.inward(m.knowledge(), table), m.age()));
+        loop.background(PAST, now -> {
+            int keys = past.keysDue(now);
+            if (keys > 0) {
+                past.write(now, Processes.outward(loop.known(keys), table));
+            }
+            return past.nextAt();
+        });
+    }
+
+    /** {@return what this edge knows, for tests} */
+    public CompletableFuture<Knowledge> known() {
+        CompletableFuture<Knowledge> result = new CompletableFuture<>();
+        loop.post(r -> result.complete(loop.known(Integer.MAX_VALUE)));
+        return result;
+    }
+
     /** Listens, and looks for its planner. {@return this} */
     public Edge start() throws IOException {
         InferenceApi api = new InferenceApi(settings, loop, tracing, () -> loop.ready() && !draining);
@@ -99,8 +142,8 @@
     }
 
     /** What is still held, for tests: open, known, out and held requests, and calls to engines. */
-    public java.util.concurrent.CompletableFuture<int[]> counts() {
-        var result = new java.util.concurrent.CompletableFuture<int[]>();
+    public CompletableFuture<int[]> counts() {
+        var result = new CompletableFuture<int[]>();
         loop.post(r -> result.complete(new int[] {r.open(), r.known(), r.attemptsOut(), r.held(),
             engines.flights()}));
         return result;
@@ -156,6 +199,9 @@
         }
         planner.stop();
         engines.stop();
+        if (past != null) {
+            past.stop();
+        }
         loop.stop();
         network.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS);
     }
--- a/edge/src/main/java/sorrelhoist/edge/EdgeSettings.java
+++ b/edge/src/main/java/sorrelhoist/edge/EdgeSettings.java
@@ -21,12 +21,13 @@
  * @param rules the rules' figures
  * @param serving how clients and engines are served
  * @param traceShare share of requests whose spans are logged, 0 for none; clients that sample decide for theirs
+ * @param pastFolder where it keeps what it knows for its next life; empty for nowhere
  * @param seed of all randomness
  */
 public record EdgeSettings(String name, String zone, List<String> zones, int port, String planner, String model,
         int routers, List<ClassSettings> classes, List<TenantSettings> tenants, List<KindSettings> kinds,
         LimitSettings limits, RuleSettings rules, ServingSettings serving, double traceShare,
-        long seed) {
+        String pastFolder, long seed) {
     /**
      * A request class.
      *
--- a/edge/src/main/java/sorrelhoist/edge/PlannerLink.java
+++ b/edge/src/main/java/sorrelhoist/edge/PlannerLink.java
@@ -39,8 +39,11 @@
     private final Backoff backoff;
     private ClientCall call;
     private boolean stopped;
+    private Runnable firstRoster;
 
-    PlannerLink(EdgeSettings settings, long incarnation, RouterLoop loop, EngineTable table, EventLoop network) {
+    PlannerLink(EdgeSettings settings, long incarnation, RouterLoop loop, EngineTable table, EventLoop network,
+            Runnable firstRoster) {
+        this.firstRoster = firstRoster;
         this.loop = loop;
         this.table = table;
         this.channel = new GrpcChannel(network, settings.planner(), GrpcChannel.Options.PLAIN);
@@ -121,6 +124,10 @@
                 .addKeyValue("lines", servers.size()).addKeyValue("epoch", roster.epoch())
                 .addKeyValue("known_for_us", roster.knownForMicros()).log("roster");
         loop.members(FORMS[roster.form()], servers, loop.now());
+        if (!servers.isEmpty()) {
+            firstRoster.run();
+            firstRoster = () -> { };
+        }
     }
 
     private static EngineTable.Entry entry(Line l) {
--- a/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
+++ b/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
@@ -8,8 +8,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongUnaryOperator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sorrelhoist.Knowledge;
 import sorrelhoist.Routing.ListForm;
 import sorrelhoist.Routing.Server;
 import sorrelhoist.Routing.ServerState;
@@ -17,6 +19,7 @@
 import sorrelhoist.core.life.Order;
 import sorrelhoist.core.life.Router;
 import sorrelhoist.core.life.RouterSettings;
+import sorrelhoist.core.sched.Background;
 
 /**
  * The one thread on which a router decides, fed by a queue. Network threads hand in what they parsed; orders go back
@@ -25,6 +28,8 @@
 final class RouterLoop {
     private static final Logger LOG = LoggerFactory.getLogger(RouterLoop.class);
     private static final long STOP_MILLIS = 2000;
+    private static final long BACKGROUND_CPU = 100_000; // a tenth of this thread, when no request waits
+    private static final long RETRY_MICROS = 1000;
 
     private final DefaultEventExecutor thread =
             new DefaultEventExecutor(new DefaultThreadFactory("router", true));
@@ -35,6 +40,8 @@
     private final Map<String, Boolean> serving = new ConcurrentHashMap<>();
     private Consumer<Order> engines = o -> { };
     private Client arriving;
+    private final Background background = new Background(BACKGROUND_CPU, clock.now());
+    private final Map<Background.Job, LongUnaryOperator> jobs = new HashMap<>();
     private long armedFor = Long.MAX_VALUE;
     private volatile int open;
     private volatile boolean ready;
@@ -113,6 +120,48 @@
         });
     }
 
+    /**
+     * Adds background work for this thread.
+     *
+     * @param job its place
+     * @param run runs one slice; takes the time, returns when it is due again
+     */
+    void background(Background.Job job, LongUnaryOperator run) {
+        thread.execute(() -> {
+            background.add(job, clock.now());
+            background.due(job, clock.now(), Long.MAX_VALUE);
+            jobs.put(job, run);
+            wakeBackground(background.wakeAt(clock.now()));
+        });
+    }
+
+    private void wakeBackground(long at) {
+        if (at < Long.MAX_VALUE) {
+            thread.schedule(this::runBackground, Math.max(RETRY_MICROS, at - clock.now()), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void runBackground() {
+        Background.Slice slice = background.next(clock.now(), thread.pendingTasks() > 0);
+        if (slice != null) {
+            long start = System.nanoTime();
+            long again = jobs.get(slice.job()).applyAsLong(clock.now());
+            long cost = (System.nanoTime() - start) / 1000;
+            background.ran(clock.now(), cost, 0, again, Long.MAX_VALUE);
+        }
+        wakeBackground(background.wakeAt(clock.now()));
+    }
+
+    /** On the router's thread: what is known. */
+    Knowledge known(int mostKeys) {
+        return router.known(clock.now(), mostKeys);
+    }
+
+    /** On the router's thread: takes what was taught. */
+    void learn(Knowledge taught, long age) {
+        router.learn(clock.now(), taught, age);
+    }
+
     void members(ListForm form, List<Server> servers, long now) {
         if (form == ListForm.COMPLETE) {
             serving.replaceAll((id, is) -> false);
