Keep hearsay apart in Decide; a background job that fails hurts nobody else

A server's health that was only taught is marked until own evidence comes, and not told on: repeated in a circle it would look like evidence. Keys keep their age through any number of tellers.

--- a/decide/src/main/java/sorrelhoist/Decide.java
+++ b/decide/src/main/java/sorrelhoist/Decide.java
@@ -690,6 +690,7 @@
 
     /** One scale for dead, failing, hanging and slow servers: share of failures, time over expected. */
     private void heard(Peer p, boolean good, double ratio) {
+        p.hearsay = false;
         p.bad += OUTCOME_WEIGHT * ((good ? 0 : 1) - p.bad);
         if (good) {
             p.heard++;
@@ -808,8 +809,9 @@
             }
         }
         List<Knowledge.Health> health = new ArrayList<>();
-        peers.values().stream().filter(p -> p.heard > 0 || p.bad > 0).forEach(p -> health.add(
-                new Knowledge.Health(p.id, p.since, p.bad, p.slow, p.heard)));
+        // What was only heard of is not told on: repeated in a circle it would look like evidence.
+        peers.values().stream().filter(p -> !p.hearsay && (p.heard > 0 || p.bad > 0)).forEach(p ->
+                health.add(new Knowledge.Health(p.id, p.since, p.bad, p.slow, p.heard)));
         return new Knowledge(some, health, readLines.stream().map(Line::sums).toList(), firstTokens.sums());
     }
 
@@ -839,6 +841,7 @@
             Peer p = peers.get(h.id());
             boolean own = p == null || p.heard > 0 || p.bad > 0;
             if (!own && h.sound() && sameProcess(h.id(), h.since())) {
+                p.hearsay = true;
                 p.bad = trust * Math.max(0, Math.min(TAUGHT_BAD, h.bad()));
                 p.slow = 1 + trust * (Math.max(0.1, Math.min(SLOW, h.slow())) - 1);
             }
--- a/decide/src/main/java/sorrelhoist/State.java
+++ b/decide/src/main/java/sorrelhoist/State.java
@@ -47,6 +47,7 @@
         double behind;
         long probedAt;
         long provenAt = Long.MIN_VALUE;
+        boolean hearsay;
 
         Peer(String id) {
             this.id = id;
--- a/decide/src/test/java/sorrelhoist/KnowledgeTest.java
+++ b/decide/src/test/java/sorrelhoist/KnowledgeTest.java
@@ -86,6 +86,24 @@
         assertEquals(10, teacher().known(4 * SECOND, 10).keys().size());
     }
 
+    @Test
+    void hearsayIsNotToldOnAndAKeyGrowsNoYoungerInACircle() {
+        Decide a = fresh();
+        Decide b = fresh();
+        Knowledge.Sums none = new Knowledge.Sums(0, 0, 0, 0, 0);
+        a.learn(SECOND, new Knowledge(onlyKey("r2", 0, 10 * SECOND).keys(), List.of(
+                new Knowledge.Health("r1", 0, 0.9, 5, 50)), List.of(), none), 0);
+        assertEquals(List.of(), a.known(SECOND, 10).servers());
+        for (long t = 2; t < 20; t++) {
+            b.learn(t * SECOND, a.known(t * SECOND, 10), 0);
+            a.learn(t * SECOND, b.known(t * SECOND, 10), 0);
+        }
+        Knowledge.Key key = a.known(20 * SECOND, 10).keys().get(0);
+        assertEquals(29 * SECOND, key.age());
+        assertEquals(3, key.uses());
+        assertEquals(key, b.known(20 * SECOND, 10).keys().get(0));
+    }
+
     @Test
     void aFalseTeacherBreaksNoRule() {
         Decide d = fresh();
--- a/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
+++ b/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
@@ -145,7 +145,13 @@
         Background.Slice slice = background.next(clock.now(), thread.pendingTasks() > 0);
         if (slice != null) {
             long start = System.nanoTime();
-            long again = jobs.get(slice.job()).applyAsLong(clock.now());
+            long again = clock.now() + TimeUnit.SECONDS.toMicros(1);
+            try {
+                again = jobs.get(slice.job()).applyAsLong(clock.now());
+            } catch (RuntimeException e) {
+                LOG.atError().setCause(e).addKeyValue("event", "background_fault").log("{} failed",
+                        slice.job().name());
+            }
             long cost = (System.nanoTime() - start) / 1000;
             background.ran(clock.now(), cost, 0, again, Long.MAX_VALUE);
         }
