Let a new edge learn from a running one, in sealed chunks of what it lacks

With a common key (teachKeys), an edge that starts asks edges of its zone first what they know: a digest of what it has goes out, health, lines and the newest keys come back in chunks, each under an HMAC with keys that rotate. The teacher runs a chunk a slice as background work, few lessons at once, bounded in bytes and time; a learner that takes nothing gets nothing more. The planner tells the edges of each other. What is taught goes through Decide's learn, as hints that fade.

Measured: a loopback test: 40 sessions known to one edge are known to a new one, and none to an edge with another secret.

--- a/app/src/main/java/sorrelhoist/app/config/Checks.java
+++ b/app/src/main/java/sorrelhoist/app/config/Checks.java
@@ -89,6 +89,11 @@
         require(roles.contains("both") || roles.contains("read") && roles.contains("write"), "kinds",
                 "need one that reads and one that writes, or one that does both");
         range("traceShare", s.traceShare(), 0, 1);
+        distinct("teachKeys", s.teachKeys(), EdgeSettings.KeySettings::id);
+        for (int i = 0; i < s.teachKeys().size(); i++) {
+            require(s.teachKeys().get(i).secret().getBytes(java.nio.charset.StandardCharsets.UTF_8).length >= 16,
+                    "teachKeys[" + i + "].secret", "needs 16 bytes or more");
+        }
         limits(s.limits());
         rules(s.rules());
         serving(s.serving());
--- a/app/src/main/resources/templates/edge.libsonnet
+++ b/app/src/main/resources/templates/edge.libsonnet
@@ -49,5 +49,6 @@
   },
   traceShare: 0,  // of requests whose spans go to the log; those that clients sample come on top
   pastFolder: '',  // where it keeps what it knows for its next life; one folder for each edge
+  teachKeys: [],  // { id: 'k1', secret: '16 bytes or more' }: edges with a common key teach new ones
   seed: 1,
 }
--- a/app/src/test/java/sorrelhoist/app/LocalFleet.java
+++ b/app/src/test/java/sorrelhoist/app/LocalFleet.java
@@ -35,6 +35,7 @@
     Planner planner;
     final int plannerPort;
     String past = "";
+    List<EdgeSettings.KeySettings> keys = List.of();
     final Map<String, Engine> engines = new LinkedHashMap<>();
     final List<Edge> edges = new ArrayList<>();
     private final List<EventLoopGroup> all = new ArrayList<>();
@@ -101,7 +102,7 @@
                 new EdgeSettings.RuleSettings(0.26, 2000, 3, 3000, 500),
                 new EdgeSettings.ServingSettings(20, resumes, 1500, 10_000, 64, 4096, 1 << 20, 2, 4, 250, 30_000, 1000,
                         2000),
-                0, past, 5);
+                0, past, keys, 5);
     }
 
     String address(int edge) {
--- a/app/src/test/java/sorrelhoist/app/StreamsTest.java
+++ b/app/src/test/java/sorrelhoist/app/StreamsTest.java
@@ -173,6 +173,30 @@
                 .stream().anyMatch(m -> m.knowledge().keys().stream().anyMatch(k -> k.name().equals(key)));
     }
 
+    @Test
+    void aNewEdgeLearnsFromARunningOneAndNotFromAStranger() throws Exception {
+        fleet = new LocalFleet(2, 1, 0);
+        fleet.keys = List.of(new sorrelhoist.edge.EdgeSettings.KeySettings("k1", "a secret of sixteen"));
+        fleet.edges.add(new sorrelhoist.edge.Edge(fleet.edgeSettings("edge-1", true)).start());
+        LocalFleet.await("the edge", () -> InferenceProbe.served(fleet, 0));
+        for (int i = 0; i < 40; i++) {
+            assertTrue(fleet.client(0).ask(new sorrelhoist.lab.load.Ask("k" + i, null, "session-" + i, null, 0,
+                    "what is known of dock " + i + ", if anything at all? ", 2, 3_000_000), (n, t) -> { })
+                    .get(5, TimeUnit.SECONDS).served());
+        }
+        fleet.edges.add(new sorrelhoist.edge.Edge(fleet.edgeSettings("edge-2", true)).start());
+        LocalFleet.await("the new edge to be taught", () -> sessions(1) == 40);
+        fleet.keys = List.of(new sorrelhoist.edge.EdgeSettings.KeySettings("k1", "another secret, also long"));
+        fleet.edges.add(new sorrelhoist.edge.Edge(fleet.edgeSettings("edge-3", true)).start());
+        LocalFleet.await("the stranger to serve", () -> InferenceProbe.served(fleet, 2));
+        assertEquals(0, sessions(2));
+    }
+
+    private long sessions(int edge) {
+        return fleet.edges.get(edge).known().join().keys().stream().filter(k -> k.name().startsWith("session-"))
+                .count();
+    }
+
     @Test
     void spansOfARequestAndItsAttemptsStandUnderTheClientsTrace() throws Exception {
         InMemorySpanExporter spans = InMemorySpanExporter.create();
--- a/edge/src/main/java/sorrelhoist/edge/Edge.java
+++ b/edge/src/main/java/sorrelhoist/edge/Edge.java
@@ -5,6 +5,9 @@
 import io.opentelemetry.api.OpenTelemetry;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -13,11 +16,15 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sorrelhoist.Knowledge;
+import sorrelhoist.core.know.LearnPlan;
 import sorrelhoist.core.know.Processes;
+import sorrelhoist.core.know.Seal;
 import sorrelhoist.core.members.EngineTable;
 import sorrelhoist.core.sched.Background;
 import sorrelhoist.edge.past.FolderDisk;
 import sorrelhoist.edge.past.PastWork;
+import sorrelhoist.edge.teach.Learner;
+import sorrelhoist.edge.teach.Teacher;
 import sorrelhoist.protocol.grpc.GrpcChannel;
 import sorrelhoist.protocol.grpc.GrpcServer;
 import sorrelhoist.protocol.http2.Http2Connection;
@@ -30,6 +37,7 @@
     private static final int MESSAGE_OVERHEAD = 64 << 10;
     private static final long LOOK_MILLIS = 20;
     private static final Background.Job PAST = new Background.Job("past", 1, 50_000, 16 << 20, 10_000_000);
+    private static final Background.Job TEACH = new Background.Job("teach", 2, 30_000, 4 << 20, 5_000_000);
     private final EdgeSettings settings;
     private final EventLoopGroup network;
     private final RouterLoop loop;
@@ -37,6 +45,8 @@
     private final PlannerLink planner;
     private final Tracing tracing;
     private final PastWork past;
+    private final Teacher teacher;
+    private final Learner learner;
     private final Set<Http2Connection> clients = ConcurrentHashMap.newKeySet();
     private Channel listener;
     private volatile boolean draining;
@@ -70,13 +80,32 @@
                 s.connectionsPerEngine(), s.dialMs() * 1000, s.idleMs() * 1000, 1 << 20, Http2Limits.CLIENT), tracing);
         past = settings.pastFolder().isEmpty() ? null : openPast(settings.pastFolder());
         // What is known of engines can only be taken once the engines themselves are.
-        planner = new PlannerLink(settings, incarnation, loop, table, network.next(), () -> recall(table));
+        planner = new PlannerLink(settings, incarnation, loop, table, network.next(), () -> recall(table),
+                this::tellLearner);
+        Seal seal = settings.teachKeys().isEmpty() ? null : seal(settings.teachKeys());
+        teacher = seal == null ? null : new Teacher(settings.name(), seal,
+                most -> Processes.outward(loop.known(most), table), what -> loop.post(r -> what.run()),
+                () -> loop.due(TEACH));
+        learner = seal == null ? null : new Learner(settings.name(), settings.zone(), seal, network.next(), this::known,
+                k -> loop.post(r -> loop.learn(Processes.inward(k, table), 0)));
         loop.engines(order -> {
             engines.carry(order);
             planner.carry(order);
         });
     }
 
+    private static Seal seal(List<EdgeSettings.KeySettings> keys) {
+        Map<String, String> secrets = new LinkedHashMap<>();
+        keys.forEach(k -> secrets.put(k.id(), k.secret()));
+        return new Seal(secrets);
+    }
+
+    private void tellLearner(List<LearnPlan.Peer> peers) {
+        if (learner != null) {
+            learner.peers(peers);
+        }
+    }
+
     private PastWork openPast(String folder) {
         try {
             return new PastWork(new FolderDisk(Path.of(folder)), loop.now());
@@ -89,9 +118,15 @@
 
     /** Takes the own past, the newest first, and keeps it from then on; on the router's thread. */
     private void recall(EngineTable table) {
-        if (past == null) {
-            return;
+        if (past != null) {
+            keepPast(table);
+        }
+        if (learner != null) {
+            learner.ready();
         }
+    }
+
+    private void keepPast(EngineTable table) {
         past.restore(loop.now()).forEach(m -> loop.learn(Processes.inward(m.knowledge(), table), m.age()));
         loop.background(PAST, now -> {
             int keys = past.keysDue(now);
@@ -115,7 +150,14 @@
         GrpcServer server = api.server(settings.serving().maxPromptBytes() + MESSAGE_OVERHEAD);
         Http2Limits limits = Http2Limits.SERVER.withMaxStreams(settings.serving().streamsPerConnection());
         listener = Net.listen(network, settings.port(), () -> Http2Connection.server(limits, server, this));
-        planner.start();
+        if (teacher != null) {
+            server.on(Teacher.TEACH, teacher::open);
+            loop.background(TEACH, now -> {
+                long wait = teacher.slice(loop::moved);
+                return wait == Long.MAX_VALUE ? wait : now + wait;
+            });
+        }
+        planner.start(port());
         LOG.atInfo().addKeyValue("event", "started").addKeyValue("edge", settings.name())
                 .addKeyValue("port", port()).log("edge listens");
         return this;
@@ -197,6 +239,9 @@
         if (listener != null) {
             listener.close();
         }
+        if (learner != null) {
+            learner.stop();
+        }
         planner.stop();
         engines.stop();
         if (past != null) {
--- a/edge/src/main/java/sorrelhoist/edge/EdgeSettings.java
+++ b/edge/src/main/java/sorrelhoist/edge/EdgeSettings.java
@@ -22,12 +22,22 @@
  * @param serving how clients and engines are served
  * @param traceShare share of requests whose spans are logged, 0 for none; clients that sample decide for theirs
  * @param pastFolder where it keeps what it knows for its next life; empty for nowhere
+ * @param teachKeys secrets with which edges teach each other, the signing one first; empty for no teaching
  * @param seed of all randomness
  */
 public record EdgeSettings(String name, String zone, List<String> zones, int port, String planner, String model,
         int routers, List<ClassSettings> classes, List<TenantSettings> tenants, List<KindSettings> kinds,
         LimitSettings limits, RuleSettings rules, ServingSettings serving, double traceShare,
-        String pastFolder, long seed) {
+        String pastFolder, List<KeySettings> teachKeys, long seed) {
+    /**
+     * A secret that edges share.
+     *
+     * @param id its name
+     * @param secret 16 bytes or more
+     */
+    public record KeySettings(String id, String secret) {
+    }
+
     /**
      * A request class.
      *
--- a/edge/src/main/java/sorrelhoist/edge/PlannerLink.java
+++ b/edge/src/main/java/sorrelhoist/edge/PlannerLink.java
@@ -3,12 +3,14 @@
 import io.netty.channel.EventLoop;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sorrelhoist.Routing.ListForm;
 import sorrelhoist.Routing.Load;
 import sorrelhoist.Routing.Outcome;
 import sorrelhoist.Routing.ServerState;
+import sorrelhoist.core.know.LearnPlan;
 import sorrelhoist.core.life.Order;
 import sorrelhoist.core.members.EngineTable;
 import sorrelhoist.core.time.Backoff;
@@ -16,6 +18,7 @@
 import sorrelhoist.protocol.grpc.GrpcChannel;
 import sorrelhoist.protocol.grpc.Status;
 import sorrelhoist.protocol.hpack.Headers;
+import sorrelhoist.protocol.net.Net;
 import sorrelhoist.protocol.plan.EdgeMessage;
 import sorrelhoist.protocol.plan.Hello;
 import sorrelhoist.protocol.plan.Line;
@@ -35,23 +38,29 @@
     private final RouterLoop loop;
     private final EngineTable table;
     private final GrpcChannel channel;
-    private final Hello hello;
+    private final EdgeSettings settings;
+    private final long incarnation;
+    private final Consumer<List<LearnPlan.Peer>> peers;
+    private Hello hello;
     private final Backoff backoff;
     private ClientCall call;
     private boolean stopped;
     private Runnable firstRoster;
 
     PlannerLink(EdgeSettings settings, long incarnation, RouterLoop loop, EngineTable table, EventLoop network,
-            Runnable firstRoster) {
+            Runnable firstRoster, Consumer<List<LearnPlan.Peer>> peers) {
         this.firstRoster = firstRoster;
+        this.peers = peers;
+        this.settings = settings;
+        this.incarnation = incarnation;
         this.loop = loop;
         this.table = table;
         this.channel = new GrpcChannel(network, settings.planner(), GrpcChannel.Options.PLAIN);
-        this.hello = new Hello(settings.name(), settings.zone(), incarnation);
         this.backoff = new Backoff(FIRST_WAIT, LONGEST_WAIT, settings.seed() ^ incarnation);
     }
 
-    void start() {
+    void start(int port) {
+        hello = new Hello(settings.name(), settings.zone(), incarnation, Net.LOOPBACK + ":" + port);
         channel.loop().execute(this::attach);
     }
 
@@ -108,6 +117,9 @@
             Load load = p.answered() ? new Load(p.memoryShare(), p.waitingTokens(), p.held(), p.queued()) : Load.NONE;
             loop.post(r -> r.probeAnswered(loop.now(), p.engine(), p.answered() ? Outcome.DONE : Outcome.TIMED_OUT,
                     p.tookMicros(), load));
+        } else if (event.peers() != null) {
+            peers.accept(event.peers().peers().stream().map(p -> new LearnPlan.Peer(p.edge(), p.zone(), p.address()))
+                    .toList());
         } else if (event.news() != null) {
             loop.post(r -> r.peerMessage(loop.now(), event.news().from(), event.news().body()));
         }
--- a/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
+++ b/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
@@ -42,6 +42,7 @@
     private Client arriving;
     private final Background background = new Background(BACKGROUND_CPU, clock.now());
     private final Map<Background.Job, LongUnaryOperator> jobs = new HashMap<>();
+    private long backgroundBytes;
     private long armedFor = Long.MAX_VALUE;
     private volatile int open;
     private volatile boolean ready;
@@ -135,6 +136,17 @@
         });
     }
 
+    /** On the router's thread: the slice that runs has moved so many bytes. */
+    void moved(long bytes) {
+        backgroundBytes += bytes;
+    }
+
+    /** On the router's thread: a job that was added has work now. */
+    void due(Background.Job job) {
+        background.due(job, clock.now(), Long.MAX_VALUE);
+        wakeBackground(background.wakeAt(clock.now()));
+    }
+
     private void wakeBackground(long at) {
         if (at < Long.MAX_VALUE) {
             thread.schedule(this::runBackground, Math.max(RETRY_MICROS, at - clock.now()), TimeUnit.MICROSECONDS);
@@ -153,7 +165,8 @@
                         slice.job().name());
             }
             long cost = (System.nanoTime() - start) / 1000;
-            background.ran(clock.now(), cost, 0, again, Long.MAX_VALUE);
+            background.ran(clock.now(), cost, backgroundBytes, again, Long.MAX_VALUE);
+            backgroundBytes = 0;
         }
         wakeBackground(background.wakeAt(clock.now()));
     }
--- a/planner/src/main/java/sorrelhoist/planner/EdgeSession.java
+++ b/planner/src/main/java/sorrelhoist/planner/EdgeSession.java
@@ -6,6 +6,7 @@
 import sorrelhoist.protocol.grpc.ServerCall;
 import sorrelhoist.protocol.grpc.Status;
 import sorrelhoist.protocol.plan.EdgeMessage;
+import sorrelhoist.protocol.plan.Peer;
 import sorrelhoist.protocol.plan.PlanEvent;
 import sorrelhoist.protocol.protobuf.ProtoException;
 
@@ -16,6 +17,7 @@
     private final Planner planner;
     private final ServerCall call;
     private String edge;
+    private Peer peer;
 
     EdgeSession(Planner planner, ServerCall call) {
         this.planner = planner;
@@ -26,6 +28,10 @@
         return edge;
     }
 
+    Peer peer() {
+        return peer;
+    }
+
     /** Sends an event. An edge that does not read is cut off: it comes back and gets the whole. */
     void send(PlanEvent event) {
         if (call.pendingBytes() > MAX_BEHIND) {
@@ -47,6 +53,7 @@
             if (message instanceof EdgeMessage.Greeting g) {
                 if (edge == null && !g.hello().edge().isEmpty()) {
                     edge = g.hello().edge();
+                    peer = new Peer(edge, g.hello().zone(), g.hello().address());
                     planner.attached(this);
                 }
             } else if (edge == null) {
--- a/planner/src/main/java/sorrelhoist/planner/Planner.java
+++ b/planner/src/main/java/sorrelhoist/planner/Planner.java
@@ -24,6 +24,7 @@
 import sorrelhoist.protocol.plan.EdgeMessage;
 import sorrelhoist.protocol.plan.Line;
 import sorrelhoist.protocol.plan.News;
+import sorrelhoist.protocol.plan.Peers;
 import sorrelhoist.protocol.plan.PlanEvent;
 import sorrelhoist.protocol.plan.Roster;
 import sorrelhoist.protocol.plan.Seat;
@@ -199,6 +200,8 @@
     private void tellSeats() {
         epoch++;
         each(s -> {
+            s.send(PlanEvent.of(new Peers(sessions.values().stream().filter(o -> o != s).map(EdgeSession::peer)
+                    .filter(p -> !p.address().isEmpty()).toList())));
             Seats.Seat seat = seats.of(s.edge());
             s.send(PlanEvent.of(new Seat(seat.routers(), seat.self(), epoch)));
         });
--- a/protocol/src/main/java/sorrelhoist/protocol/plan/Hello.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/plan/Hello.java
@@ -10,8 +10,9 @@
  * @param edge its name
  * @param zone where it stands
  * @param incarnation grows with every start
+ * @param address where its peers reach it
  */
-public record Hello(String edge, String zone, long incarnation) {
+public record Hello(String edge, String zone, long incarnation, String address) {
     /** {@return the message in these bytes} */
     public static Hello parse(byte[] bytes) throws ProtoException {
         return read(new ProtoReader(bytes));
@@ -21,19 +22,21 @@
         String edge = "";
         String zone = "";
         long incarnation = 0;
+        String address = "";
         for (int f = in.next(); f != 0; f = in.next()) {
             switch (f) {
                 case 1 -> edge = in.text();
                 case 2 -> zone = in.text();
                 case 3 -> incarnation = in.integer();
+                case 4 -> address = in.text();
                 default -> in.skip();
             }
         }
-        return new Hello(edge, zone, incarnation);
+        return new Hello(edge, zone, incarnation, address);
     }
 
     ProtoWriter write() {
-        return new ProtoWriter().text(1, edge).text(2, zone).integer(3, incarnation);
+        return new ProtoWriter().text(1, edge).text(2, zone).integer(3, incarnation).text(4, address);
     }
 
     /** {@return its bytes} */
