--- a/app/src/main/java/sorrelhoist/app/command/MeasureCommand.java
+++ b/app/src/main/java/sorrelhoist/app/command/MeasureCommand.java
@@ -1,12 +1,14 @@
 package sorrelhoist.app.command;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import sorrelhoist.lab.measure.PathMeasure;
 import sorrelhoist.lab.measure.StreamMeasure;
 import sorrelhoist.lab.run.ProcessFleet;
+import sorrelhoist.lab.sim.KnowledgeStudy;
 
 /** Measures one edge on this machine. */
 @Command(name = "measure", description = "Measures one edge: time added to a first token, throughput, CPU, memory.")
@@ -31,6 +33,15 @@
         return 0;
     }
 
+    @Command(name = "knowledge", description = "Studies in virtual time what teaching a new router is worth.")
+    int knowledge(@Option(names = "--routers", split = ",", defaultValue = "3,50,150", description = "sizes of fleets")
+            int[] sizes, @Option(names = "--seeds", defaultValue = "10", description = "runs of each kind") int seeds,
+            @Option(names = "--out", required = true, paramLabel = "FOLDER", description = "for table and charts")
+            Path out) throws IOException {
+        new KnowledgeStudy(seeds, System.out::println).run(sizes, out);
+        return 0;
+    }
+
     @Override
     public Integer call() throws IOException {
         if (requests < 4 || concurrency < 1 || tokens < 1) {
