--- a/core/src/main/java/sorrelhoist/core/life/Router.java
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -56,6 +56,8 @@
     private final List<Life> leaving = new ArrayList<>();
     private long now = Long.MIN_VALUE;
     private long ids;
+    private long sends;
+    private long outcomes;
     private boolean draining;
 
     /**
@@ -326,6 +328,11 @@
         return (int) byDecide.values().stream().filter(l -> l.out != null).count();
     }
 
+    /** {@return sends of Decide less the outcomes it was told: never other than the attempts that are out} */
+    public long sendsWithoutOutcome() {
+        return sends - outcomes;
+    }
+
     /** {@return states and places that are held for requests} */
     public int held() {
         return (int) byDecide.values().stream().filter(l -> l.state != null || l.placeEngine != null).count();
@@ -485,6 +492,7 @@
     private void ended(Life life, Life.Attempt a, Outcome outcome, boolean over, long note, Load load) {
         a.ended = true;
         life.out = null;
+        outcomes++;
         events.add(new AttemptEnded(a.id.request(), a.id.number(), a.engine, outcome, now - a.sentAt, over, note,
                 load));
     }
@@ -557,12 +565,14 @@
     }
 
     private void send(Send s) {
+        sends++;
         Life life = byDecide.get(s.id());
         int number = life == null ? 0 : life.sends++;
         Integer kind = kinds.get(s.server());
         long cut = life == null ? 0 : s.cutAt() == 0 ? life.endsBy : Math.min(s.cutAt(), life.endsBy);
         if (life == null || life.finished || life.out != null || kind == null || cut <= now) {
             Outcome moot = life != null && !life.finished && cut <= now ? Outcome.TIMED_OUT : Outcome.SKIPPED;
+            outcomes++;
             events.add(new AttemptEnded(s.id(), number, s.server(), moot, 0, life == null || life.finished, 0,
                     Load.NONE));
             return;
--- a/core/src/test/java/sorrelhoist/core/life/Histories.java
+++ b/core/src/test/java/sorrelhoist/core/life/Histories.java
@@ -304,6 +304,10 @@
 
     /** Rule 5: a state that no attempt waits for is taken or let go in time. */
     private void check() {
+        if (router.sendsWithoutOutcome() != router.attemptsOut()) {
+            broken.add("a send has not exactly one outcome: " + router.sendsWithoutOutcome() + " are without, "
+                    + router.attemptsOut() + " are out");
+        }
         held.forEach((state, h) -> {
             if (outBy.getOrDefault(h.name(), 0) == 0 && now - Math.max(h.since(), lastOut.getOrDefault(h.name(), 0L))
                     > Fleet.RELEASE) {
