Mend three tests that could not fail; drop code that nobody calls

Reading the whole change again: cut messages were parsed and nothing asserted, GOAWAY's test took any reset, and the stream beside a slow one was not followed to its end. Each now asserts what it says. Phase.allows, EngineTable.size and an unread parameter had no caller.

--- a/core/src/main/java/sorrelhoist/core/life/Phase.java
+++ b/core/src/main/java/sorrelhoist/core/life/Phase.java
@@ -56,11 +56,6 @@
         WAYS.computeIfAbsent(from, p -> new EnumMap<>(Step.class)).put(step, to);
     }
 
-    /** {@return whether this step can be taken from here} */
-    boolean allows(Step step) {
-        return WAYS.getOrDefault(this, Map.of()).containsKey(step);
-    }
-
     /** {@return where the step leads} */
     Phase after(Step step) {
         Phase to = WAYS.getOrDefault(this, Map.of()).get(step);
--- a/core/src/main/java/sorrelhoist/core/members/EngineTable.java
+++ b/core/src/main/java/sorrelhoist/core/members/EngineTable.java
@@ -111,9 +111,4 @@
         Known k = known.get(id);
         return k == null ? Long.MIN_VALUE : k.since();
     }
-
-    /** {@return how many engines were ever told of} */
-    public int size() {
-        return known.size();
-    }
 }
--- a/lab/src/main/java/sorrelhoist/lab/measure/DirectClient.java
+++ b/lab/src/main/java/sorrelhoist/lab/measure/DirectClient.java
@@ -35,7 +35,7 @@
             String name = "direct." + ++names;
             int tokens = (prompt.length() + BYTES_PER_TOKEN - 1) / BYTES_PER_TOKEN;
             start(reader, EngineApi.PREFILL, new PrefillRequest(name, id, "direct", 0, prompt, tokens, maxTokens, 0)
-                    .bytes(), result, (m, last) -> {
+                    .bytes(), result, m -> {
                         PrefillReply reply = PrefillReply.parse(m);
                         start(writer, EngineApi.DECODE, new DecodeRequest(name, id, "direct", 1, reply.stateId(),
                                 readerAddress, "", tokens, maxTokens, 0, "", 0).bytes(), result, new Tokens(start,
@@ -46,7 +46,7 @@
     }
 
     private interface Take {
-        void take(byte[] message, boolean last) throws ProtoException;
+        void take(byte[] message) throws ProtoException;
     }
 
     private static final class Tokens implements Take {
@@ -60,7 +60,7 @@
         }
 
         @Override
-        public void take(byte[] message, boolean last) throws ProtoException {
+        public void take(byte[] message) throws ProtoException {
             DecodeEvent e = DecodeEvent.parse(message);
             if (e.token() != null && first == 0) {
                 first = (System.nanoTime() - start) / 1000;
@@ -77,7 +77,7 @@
             public void message(ClientCall c, byte[] message, int wireBytes) {
                 c.credit(wireBytes);
                 try {
-                    take.take(message, false);
+                    take.take(message);
                 } catch (ProtoException e) {
                     result.completeExceptionally(e);
                 }
--- a/protocol/src/test/java/sorrelhoist/protocol/http2/Http2ConnectionTest.java
+++ b/protocol/src/test/java/sorrelhoist/protocol/http2/Http2ConnectionTest.java
@@ -89,7 +89,10 @@
         slow.consumed(1000);
         p.pump();
         assertEquals(2900, sum(p.events, "client data"));
-        assertTrue(other.isClosed() || p.client.openStreams() > 0);
+        other.consumed(900);
+        p.pump();
+        assertTrue(other.isClosed(), "the stream beside the slow one is served to its end");
+        assertFalse(slow.isClosed());
     }
 
     @Test
@@ -135,8 +138,8 @@
         p.server.close(ErrorCode.NO_ERROR, "ends");
         p.pump();
         assertTrue(p.events.contains("client reset REFUSED_STREAM true"), p.events.toString());
-        assertTrue(p.events.contains("client reset CONNECT_ERROR false")
-                || p.events.stream().filter(e -> e.startsWith("client reset")).count() >= 1);
+        // Two streams were open: the server had seen the first only, which may have run.
+        assertEquals(1, p.events.stream().filter(e -> e.equals("client reset REFUSED_STREAM true")).count());
         assertNull(p.open(true));
     }
 
--- a/protocol/src/test/java/sorrelhoist/protocol/protobuf/ProtoTest.java
+++ b/protocol/src/test/java/sorrelhoist/protocol/protobuf/ProtoTest.java
@@ -1,7 +1,9 @@
 package sorrelhoist.protocol.protobuf;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.Map;
@@ -70,14 +72,17 @@
     @Test
     void cutAndHostileMessagesAreRefused() {
         byte[] whole = REQUEST.bytes();
+        int refused = 0;
         for (int cut = 1; cut < whole.length; cut++) {
             byte[] part = java.util.Arrays.copyOf(whole, cut);
             try {
-                InferRequest.parse(part);
+                // A cut between two fields leaves a message, but never the same one.
+                assertNotEquals(REQUEST, InferRequest.parse(part), "cut at " + cut);
             } catch (ProtoException expected) {
-                continue;
+                refused++;
             }
         }
+        assertTrue(refused > whole.length * 3 / 4, refused + " of " + whole.length + " cuts were refused");
         assertThrows(ProtoException.class, () -> InferRequest.parse(new byte[] {10, 127, 1}));
         assertThrows(ProtoException.class, () -> InferRequest.parse(new byte[] {10, 1, -1}));
         assertThrows(ProtoException.class, () -> InferRequest.parse(new byte[] {0}));
