Speak the operators' platform protocol: one router on real sockets, as run starts it

The operators put the router itself into service. The new module platform carries what core's Router orders over HTTP/1.1 on one Netty loop: clients, workers, holds, probes, discovery's watch and other routers' datagrams. Router passes opaque events on, leaves the client's time out of account after the first one, and names requests as their client does, by a setting (Streams). HttpParser is split into a head parser and a body reader that gives parts as they come. Net takes any loopback address.

--- a/adapter/src/main/java/sorrelhoist/wire/Fields.java
+++ b/adapter/src/main/java/sorrelhoist/wire/Fields.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 
 /** A JSON object with typed access; a missing or odd field is named in the fault. */
-final class Fields {
+public final class Fields {
     private static final JsonFactory JSON = new JsonFactory();
 
     private final Map<String, Object> values;
@@ -21,7 +21,7 @@
     }
 
     /** Parses one line that must hold exactly one object. */
-    static Fields parse(String line) throws WireException {
+    public static Fields parse(String line) throws WireException {
         try (JsonParser parser = JSON.createParser(line)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new WireException("malformed JSON: an object was expected");
@@ -66,12 +66,14 @@
         };
     }
 
-    String text(String name) throws WireException {
+    /** A text that has to be there. */
+    public String text(String name) throws WireException {
         String text = text(name, null);
         return text == null ? missing(name) : text;
     }
 
-    String text(String name, String otherwise) throws WireException {
+    /** A text. */
+    public String text(String name, String otherwise) throws WireException {
         Object value = values.get(name);
         if (value != null && !(value instanceof String)) {
             throw new WireException("field \"" + name + "\" should be text");
@@ -79,11 +81,13 @@
         return value == null ? otherwise : (String) value;
     }
 
-    long whole(String name, long least) throws WireException {
+    /** A whole number that has to be there. */
+    public long whole(String name, long least) throws WireException {
         return values.get(name) == null ? missing(name) : whole(name, least, 0);
     }
 
-    long whole(String name, long least, long otherwise) throws WireException {
+    /** A whole number. */
+    public long whole(String name, long least, long otherwise) throws WireException {
         double value = number(name, otherwise);
         Object raw = values.get(name);
         long whole = raw instanceof Number n ? n.longValue() : otherwise;
@@ -108,7 +112,8 @@
         return (int) value;
     }
 
-    double number(String name, double otherwise) throws WireException {
+    /** A number. */
+    public double number(String name, double otherwise) throws WireException {
         Object value = values.get(name);
         if (value != null && !(value instanceof Number)) {
             throw new WireException("field \"" + name + "\" should be a number");
@@ -116,7 +121,8 @@
         return value == null ? otherwise : ((Number) value).doubleValue();
     }
 
-    boolean flag(String name) throws WireException {
+    /** True or false; false where absent. */
+    public boolean flag(String name) throws WireException {
         Object value = values.get(name);
         if (value != null && !(value instanceof Boolean)) {
             throw new WireException("field \"" + name + "\" should be true or false");
@@ -125,7 +131,7 @@
     }
 
     /** A nested object; empty where absent. */
-    Fields inner(String name) throws WireException {
+    public Fields inner(String name) throws WireException {
         return inner(name, values.get(name));
     }
 
@@ -145,7 +151,7 @@
     }
 
     /** A list of objects. */
-    List<Fields> rows(String name) throws WireException {
+    public List<Fields> rows(String name) throws WireException {
         List<Fields> rows = new ArrayList<>();
         for (Object value : list(name)) {
             rows.add(inner(name, value));
@@ -154,7 +160,7 @@
     }
 
     /** A list of plain values; empty where absent. */
-    List<?> list(String name) throws WireException {
+    public List<?> list(String name) throws WireException {
         Object value = values.get(name);
         if (value != null && !(value instanceof List)) {
             throw new WireException("field \"" + name + "\" should be a list");
@@ -162,7 +168,8 @@
         return value == null ? List.of() : (List<?>) value;
     }
 
-    boolean has(String name) {
+    /** Whether it is there. */
+    public boolean has(String name) {
         return values.get(name) != null;
     }
 
--- a/adapter/src/main/java/sorrelhoist/wire/Inward.java
+++ b/adapter/src/main/java/sorrelhoist/wire/Inward.java
@@ -6,7 +6,7 @@
 import sorrelhoist.Routing.*;
 
 /** Turns wire messages into settings and events. */
-final class Inward {
+public final class Inward {
     private static final long MAX_ID = 1L << 52;
     private static final Map<String, Role> ROLES = Map.of("read", Role.READ,
             "write", Role.WRITE, "both", Role.BOTH);
@@ -28,7 +28,8 @@
     private Inward() {
     }
 
-    static Settings settings(Fields boot) throws WireException {
+    /** Reads a router's settings; the platform's configuration holds the same object under the same names. */
+    public static Settings settings(Fields boot) throws WireException {
         Fields specifics = boot.inner("specifics");
         Fields limits = boot.inner("limits");
         Fields rules = boot.inner("rules");
--- a/adapter/src/main/java/sorrelhoist/wire/WireException.java
+++ b/adapter/src/main/java/sorrelhoist/wire/WireException.java
@@ -1,10 +1,11 @@
 package sorrelhoist.wire;
 
 /** What was wrong on the wire, and where; its message is one plain line. */
-final class WireException extends Exception {
+public final class WireException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    WireException(String message) {
+    /** Makes one that says so. */
+    public WireException(String message) {
         super(message);
     }
 
--- a/app/src/main/java/sorrelhoist/app/Main.java
+++ b/app/src/main/java/sorrelhoist/app/Main.java
@@ -12,6 +12,7 @@
 import sorrelhoist.app.command.Programs;
 import sorrelhoist.app.command.RecordCommand;
 import sorrelhoist.app.command.WireCommand;
+import sorrelhoist.platform.Platform;
 import sorrelhoist.wire.WireHost;
 
 /** The command line. */
@@ -20,7 +21,7 @@
         subcommands = {Programs.EdgeProgram.class, Programs.PlannerProgram.class, Programs.EngineProgram.class,
             Programs.RegistryProgram.class, ConfigCommand.class, FleetCommands.Demo.class, FleetCommands.Up.class,
             FleetCommands.AskCommand.class, FleetCommands.DayCommand.class, MeasureCommand.class, RecordCommand.class,
-            Main.Wirehost.class})
+            Main.Wirehost.class, Main.PlatformProgram.class})
 public final class Main {
     private Main() {
     }
@@ -38,12 +39,26 @@
         }
     }
 
+    /** The router on the operators' platform. */
+    @Command(name = "platform",
+            description = "Runs one router on the operators' platform, as LB_CONFIG and its kin tell it.")
+    static final class PlatformProgram implements Callable<Integer> {
+        @Override
+        public Integer call() throws IOException {
+            return Platform.run(System.getenv());
+        }
+    }
+
     /**
      * Runs a command and exits with its status.
      *
      * @param args sub-command and options
      */
-    public static void main(String[] args) {
+    public static void main(String[] args) throws IOException {
+        if (args.length == 1 && args[0].equals("platform")) {
+            // A machine with part of a core and tens of megabytes: nothing of the command tree is loaded there.
+            System.exit(Platform.run(System.getenv()));
+        }
         CommandLine line = new CommandLine(new Main());
         line.setExecutionExceptionHandler((e, command, parsed) -> {
             System.err.println(command.getCommandName() + ": " + e.getMessage());
--- a/core/src/main/java/sorrelhoist/core/life/Router.java
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -105,7 +105,7 @@
         }
         submit(life);
         drain();
-        if (life.endsBy < Long.MAX_VALUE) {
+        if (life.endsBy < Long.MAX_VALUE && settings.streams().endWithClientsTime()) {
             alarms.set(life.endsBy, new Expiry(life));
         }
         return life.client;
@@ -201,14 +201,7 @@
             log(life, "token " + index + " where " + life.tokens + " was due");
             drop(life, a, Outcome.ERROR);
         } else {
-            if (!a.started) {
-                begin(life, a);
-            } else {
-                watch.token(a, now);
-                life.step(Phase.Step.TOKEN);
-            }
-            a.heardAt = now;
-            life.tokens++;
+            heard(life, a);
             life.answered.append(text);
             if (life.finished) {
                 drop(life, a, Outcome.CANCELLED);
@@ -231,14 +224,66 @@
             log(life, "an answer of " + tokens + " tokens ended after " + life.tokens);
             lost(life, a, Outcome.ERROR, 0, load);
         } else {
-            life.step(Phase.Step.LAST_TOKEN);
-            holds.gone(life);
-            ended(life, a, Outcome.DONE, true, kept, load);
-            finish(life, new Answer.Served(life.tokens));
+            whole(life, a, kept, load);
         }
         drain();
     }
 
+    /**
+     * An event of an answer came that is passed on as it is ({@link Streams#opaque}); nothing of it is kept.
+     *
+     * @param time now
+     * @param id of which attempt
+     * @param ticket the event, handed on in the order to deliver it
+     * @return whether it was handed on; if not, it is still the caller's
+     */
+    public boolean event(long time, AttemptId id, Object ticket) {
+        at(time);
+        Life life = lives.ofDecide(id.request());
+        Life.Attempt a = Lives.out(life, id);
+        if (a == null || a.read) {
+            return false;
+        }
+        heard(life, a);
+        boolean wanted = !life.finished;
+        if (wanted) {
+            carrier.accept(new Order.Deliver(life.client, life.tokens - 1, "", ticket));
+        } else {
+            drop(life, a, Outcome.CANCELLED);
+        }
+        drain();
+        return wanted;
+    }
+
+    /** A stream of opaque events came to its proper end. */
+    public void streamWhole(long time, AttemptId id, long kept, Load load) {
+        at(time);
+        Life life = lives.ofDecide(id.request());
+        Life.Attempt a = Lives.out(life, id);
+        if (a != null && !a.read) {
+            whole(life, a, kept, load);
+            drain();
+        }
+    }
+
+    private void heard(Life life, Life.Attempt a) {
+        if (!a.started) {
+            begin(life, a);
+        } else {
+            watch.token(a, now);
+            life.step(Phase.Step.TOKEN);
+        }
+        a.heardAt = now;
+        life.tokens++;
+    }
+
+    private void whole(Life life, Life.Attempt a, long kept, Load load) {
+        life.step(Phase.Step.LAST_TOKEN);
+        holds.gone(life);
+        ended(life, a, Outcome.DONE, true, kept, load);
+        finish(life, new Answer.Served(life.tokens));
+    }
+
     /** A place was held, or not. */
     public void placeAnswered(long time, long request, String engine, boolean held, String place) {
         at(time);
@@ -409,7 +454,7 @@
     private void submit(Life life) {
         Call c = life.call;
         lives.submit(life);
-        life.name = settings.name() + "." + Long.toString(settings.incarnation(), NAMES) + "."
+        life.name = settings.streams().opaque() ? c.clientId() : settings.name() + "." + Long.toString(settings.incarnation(), NAMES) + "."
                 + Long.toString(life.decideId, NAMES);
         if (tap != Tap.NONE) {
             tap.asked(new Entry.Asked(now, life.decideId, life.client, life.name, c.clientId(), 0, c.timeoutMicros(),
@@ -465,7 +510,7 @@
             return;
         }
         lives.concluded(life);
-        if (life.tokens >= life.call.maxTokens()) {
+        if (!settings.streams().opaque() && life.tokens >= life.call.maxTokens()) {
             life.step(Phase.Step.LAST_TOKEN);
             finish(life, new Answer.Served(life.tokens));
         } else if (!draining && watch.goesOn(life, now)) {
@@ -607,7 +652,8 @@
     }
 
     private void move(Life life) {
-        if (life != null && !life.finished && life.phase == Phase.STREAMING && settings.resumes()) {
+        if (life != null && !life.finished && life.phase == Phase.STREAMING
+                && (settings.resumes() || settings.streams().clientsResume())) {
             drop(life, life.out, Outcome.CANCELLED);
         }
     }
--- a/core/src/main/java/sorrelhoist/core/life/RouterSettings.java
+++ b/core/src/main/java/sorrelhoist/core/life/RouterSettings.java
@@ -16,7 +16,14 @@
  * @param stallMicros how long a client may take nothing of a running answer
  * @param maxOpen requests that may be open at once; more are refused at once
  * @param seed of all randomness
+ * @param streams what is settled of answers that have begun
  */
 public record RouterSettings(String name, long incarnation, Settings decide, List<Long> deadlines,
-        List<Long> deadlinesPer1000, long marginMicros, boolean resumes, long stallMicros, int maxOpen, long seed) {
+        List<Long> deadlinesPer1000, long marginMicros, boolean resumes, long stallMicros, int maxOpen, long seed, Streams streams) {
+    /** Settings with {@link Streams#OF_TOKENS}. */
+    public RouterSettings(String name, long incarnation, Settings decide, List<Long> deadlines,
+            List<Long> deadlinesPer1000, long marginMicros, boolean resumes, long stallMicros, int maxOpen, long seed) {
+        this(name, incarnation, decide, deadlines, deadlinesPer1000, marginMicros, resumes, stallMicros, maxOpen, seed,
+                Streams.OF_TOKENS);
+    }
 }
--- a/core/src/main/java/sorrelhoist/core/life/StreamWatch.java
+++ b/core/src/main/java/sorrelhoist/core/life/StreamWatch.java
@@ -23,7 +23,9 @@
 
     /** {@return when a stream counts as dead if nothing comes before; never while its client holds it back} */
     long deadAt(Life life, Life.Attempt a) {
-        return life.blockedSince > 0 ? Long.MAX_VALUE : a.heardAt + liveness.patience(a.kind);
+        long silence = settings.streams().silenceMicros();
+        return life.blockedSince > 0 ? Long.MAX_VALUE
+                : a.heardAt + (silence > 0 ? silence : liveness.patience(a.kind));
     }
 
     /** {@return when to look: patience shrinks as streams are seen, so at least as often as the shortest} */
--- /dev/null
+++ b/protocol/src/main/java/sorrelhoist/protocol/http1/HttpBody.java
@@ -0,0 +1,126 @@
+package sorrelhoist.protocol.http1;
+
+import io.netty.buffer.ByteBuf;
+import sorrelhoist.protocol.http1.HttpParser.BadMessage;
+
+/** Reads one message's content part by part as its bytes come (RFC 9112, sections 6 and 7); keeps none of it. */
+public final class HttpBody {
+    private enum At { LENGTH, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_CLOSE, ENDED }
+
+    private static final int MAX_LINES = 16 << 10;
+    private final long length;
+    private final StringBuilder line = new StringBuilder();
+    private At at;
+    private long left;
+    private int lineBytes;
+
+    private HttpBody(At at, long length) {
+        this.at = at;
+        this.length = length;
+        this.left = Math.max(0, length);
+    }
+
+    /**
+     * Finds out how a message is framed.
+     *
+     * @param head the message's head
+     * @throws BadMessage where its framing could be read in two ways, or not at all
+     */
+    public static HttpBody of(HttpHead head) throws BadMessage {
+        String length = head.header("content-length");
+        String coding = head.header("transfer-encoding");
+        if (coding != null) {
+            if (length != null || !coding.equalsIgnoreCase("chunked")) {
+                throw new BadMessage(400, "transfer-encoding has to be chunked, without content-length");
+            }
+            return new HttpBody(At.CHUNK_SIZE, -1);
+        }
+        if (length != null) {
+            if (!length.matches("[0-9]{1,9}")) {
+                throw new BadMessage(400, "content-length is no number");
+            }
+            long size = Long.parseLong(length);
+            return new HttpBody(size == 0 ? At.ENDED : At.LENGTH, size);
+        }
+        int status = head.status();
+        boolean none = status == 0 || status == 204 || status == 304 || status < 200;
+        return new HttpBody(none ? At.ENDED : At.TO_CLOSE, none ? 0 : -1);
+    }
+
+    /** {@return bytes as declared, or -1 where the message does not say} */
+    public long length() {
+        return length;
+    }
+
+    /** {@return whether all has come} */
+    public boolean ended() {
+        return at == At.ENDED;
+    }
+
+    /** {@return whether the end of the connection is the end of the content} */
+    public boolean endsWithConnection() {
+        return at == At.TO_CLOSE;
+    }
+
+    /**
+     * Reads on.
+     *
+     * @param in bytes as they came
+     * @return the next part, as a slice that lives as long as {@code in}; null where more bytes are needed or all ended
+     */
+    public ByteBuf next(ByteBuf in) throws BadMessage {
+        while (at != At.ENDED && in.isReadable()) {
+            if (at == At.LENGTH || at == At.CHUNK || at == At.TO_CLOSE) {
+                int part = (int) Math.min(at == At.TO_CLOSE ? Integer.MAX_VALUE : left, in.readableBytes());
+                left -= part;
+                if (left == 0 && at != At.TO_CLOSE) {
+                    at = at == At.CHUNK ? At.CHUNK_END : At.ENDED;
+                }
+                return in.readSlice(part);
+            }
+            String whole = line(in);
+            if (whole != null) {
+                take(whole);
+            }
+        }
+        return null;
+    }
+
+    private String line(ByteBuf in) throws BadMessage {
+        while (in.isReadable()) {
+            char c = (char) in.readUnsignedByte();
+            if (++lineBytes > MAX_LINES) {
+                throw new BadMessage(431, "more than " + MAX_LINES + " bytes in place of a chunk");
+            }
+            if (c == '\n') {
+                return HttpParser.ended(line);
+            }
+            line.append(c);
+        }
+        return null;
+    }
+
+    private void take(String whole) throws BadMessage {
+        if (at == At.CHUNK_SIZE) {
+            left = size(whole);
+            at = left == 0 ? At.TRAILERS : At.CHUNK;
+            lineBytes = 0;
+        } else if (at == At.CHUNK_END) {
+            if (!whole.isEmpty()) {
+                throw new BadMessage(400, "a chunk is longer than it said");
+            }
+            at = At.CHUNK_SIZE;
+        } else if (whole.isEmpty()) {
+            at = At.ENDED;
+        }
+    }
+
+    private static long size(String whole) throws BadMessage {
+        int semicolon = whole.indexOf(';');
+        String size = (semicolon < 0 ? whole : whole.substring(0, semicolon)).strip();
+        if (size.isEmpty() || size.length() > 7 || size.chars().anyMatch(c -> Character.digit(c, 16) < 0 || c > 'f')) {
+            throw new BadMessage(400, "a chunk's size is no number");
+        }
+        return Long.parseLong(size, 16);
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/sorrelhoist/protocol/http1/HttpHead.java
@@ -0,0 +1,31 @@
+package sorrelhoist.protocol.http1;
+
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * The head of a request or a response of HTTP/1.1 (RFC 9112).
+ *
+ * @param method the request's method; empty for responses
+ * @param target the request's target; empty for responses
+ * @param status the response's status; 0 for requests
+ * @param headers fields by lower-case name; the values of repeated ones are joined with commas
+ */
+public record HttpHead(String method, String target, int status, Map<String, String> headers) {
+    /** {@return a field's value, or null} */
+    public String header(String name) {
+        return headers.get(name);
+    }
+
+    /** {@return the target's path, without its query} */
+    public String path() {
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+
+    /** {@return whether another message may follow on the connection (RFC 9112, section 9.3)} */
+    public boolean keepsAlive() {
+        String connection = header("connection");
+        return connection == null || !connection.toLowerCase(Locale.ROOT).contains("close");
+    }
+}
--- a/protocol/src/main/java/sorrelhoist/protocol/net/Net.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/net/Net.java
@@ -18,9 +18,9 @@
 import java.net.InetSocketAddress;
 import java.util.function.Supplier;
 
-/** Netty's sockets, on the loopback address alone. */
+/** Netty's sockets, on loopback addresses alone (127.0.0.0/8). */
 public final class Net {
-    /** The one address that anything here listens on or connects to. */
+    /** The address that is listened on where none is given. */
     public static final String LOOPBACK = "127.0.0.1";
 
     private Net() {
@@ -43,6 +43,20 @@
      */
     public static Channel listen(EventLoopGroup loops, int port, Supplier<ChannelHandler> handler)
             throws IOException {
+        return listen(loops, new InetSocketAddress(LOOPBACK, port), handler);
+    }
+
+    /**
+     * Listens on one loopback address.
+     *
+     * @param loops for the listener and its connections
+     * @param address from {@link #parse}
+     * @param handler makes the handler of each connection
+     * @return the listener
+     * @throws IOException where the address cannot be had
+     */
+    public static Channel listen(EventLoopGroup loops, InetSocketAddress address, Supplier<ChannelHandler> handler)
+            throws IOException {
         ChannelFuture bound = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -51,9 +65,10 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(handler.get());
                     }
-                }).bind(LOOPBACK, port).awaitUninterruptibly();
+                }).bind(address).awaitUninterruptibly();
         if (!bound.isSuccess()) {
-            throw new IOException("cannot listen on " + LOOPBACK + ":" + port + ": " + bound.cause().getMessage(),
+            throw new IOException("cannot listen on " + address.getHostString() + ":" + address.getPort() + ": "
+                    + bound.cause().getMessage(),
                     bound.cause());
         }
         return bound.channel();
@@ -68,7 +83,7 @@
      * Connects to a loopback port.
      *
      * @param loop the connection's event loop
-     * @param address host:port; the host has to be the loopback address
+     * @param address host:port; the host has to be a loopback address
      * @param timeoutMicros until the attempt fails
      * @param handler the connection's handler
      * @return the attempt
@@ -83,20 +98,21 @@
     /**
      * Reads an address.
      *
-     * @param address 127.0.0.1:PORT
+     * @param address 127.X.X.X:PORT
      * @return the same
      * @throws IllegalArgumentException where it is none, or leads elsewhere
      */
     public static InetSocketAddress parse(String address) {
         int colon = address == null ? -1 : address.lastIndexOf(':');
         String host = colon < 0 ? "" : address.substring(0, colon);
-        if (!host.equals(LOOPBACK) && !host.equals("localhost")) {
-            throw new IllegalArgumentException("address \"" + address + "\": give " + LOOPBACK + ":PORT");
+        boolean local = host.equals("localhost");
+        if (!local && !host.matches("127(\\.(0|[1-9][0-9]{0,2})){3}")) {
+            throw new IllegalArgumentException("address \"" + address + "\": give 127.X.X.X:PORT");
         }
         try {
             int port = Integer.parseInt(address.substring(colon + 1));
             if (port > 0 && port < 1 << 16) {
-                return new InetSocketAddress(LOOPBACK, port);
+                return new InetSocketAddress(local ? LOOPBACK : host, port);
             }
         } catch (NumberFormatException e) {
             // Said below, as for a port out of range.
