Let clients that come for the rest of a broken answer in beyond the first aim

A line a second of what ends (Beat) showed streams broken by a restart or a lost zone, their clients coming again at once with X-Again: again, and the door refusing them: expected 1.2 to 2.1 s against a first aim of 1.1 s (Decide.refusedAtDoor). The wire has always marked such requests (came-back); nobody read it.

Arrived.resumed carries the mark; the door then grants RESUMED_DOOR of the time left.

--- a/adapter/src/main/java/sorrelhoist/wire/Inward.java
+++ b/adapter/src/main/java/sorrelhoist/wire/Inward.java
@@ -136,7 +136,7 @@
         return new Arrived(id(m), m.index("class", settings.classes().size()),
                 m.indexOrZero("project", Math.max(1, settings.tenants().size())), m.text("talk", null),
                 m.text("prefix", null), m.whole("n-prompt", 0, 0), m.whole("n-prefix", 0, 0),
-                m.whole("max-tokens", 0, 0), m.whole("budget-us", 0));
+                m.whole("max-tokens", 0, 0), m.whole("budget-us", 0), m.flag("came-back"));
     }
 
     private static long id(Fields m) throws WireException {
--- a/core/src/main/java/sorrelhoist/core/life/Call.java
+++ b/core/src/main/java/sorrelhoist/core/life/Call.java
@@ -14,9 +14,16 @@
  * @param maxTokens the most that may be answered, 1 or more
  * @param timeoutMicros until the client gives up on the whole answer; 0 where it did not say
  * @param previousAttempts how often the client's own library has tried before, as it marks it
+ * @param resumed whether the client has the beginning of the answer already and asks for the rest
  * @param trace the carrier's own, handed back with orders; may be null
  */
 public record Call(String clientId, int cls, int tenant, String session, String prefix, long prefixTokens,
         String prompt, long promptTokens, int maxTokens, long timeoutMicros,
-        int previousAttempts, Object trace) {
+        int previousAttempts, boolean resumed, Object trace) {
+    /** A call for a whole answer. */
+    public Call(String clientId, int cls, int tenant, String session, String prefix, long prefixTokens, String prompt,
+            long promptTokens, int maxTokens, long timeoutMicros, int previousAttempts, Object trace) {
+        this(clientId, cls, tenant, session, prefix, prefixTokens, prompt, promptTokens, maxTokens, timeoutMicros,
+                previousAttempts, false, trace);
+    }
 }
--- a/core/src/main/java/sorrelhoist/core/life/Router.java
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -464,7 +464,7 @@
                 + settings.deadlinesPer1000().get(c.cls()) * life.promptTokens() / 1000;
         long budget = Math.max(0, Math.min(patience, life.endsBy - now));
         events.add(new Arrived(life.decideId, c.cls(), c.tenant(), c.session(), c.prefix(), life.promptTokens(),
-                c.prefixTokens(), c.maxTokens() - life.tokens, budget));
+                c.prefixTokens(), c.maxTokens() - life.tokens, budget, c.resumed() || life.tokens > 0));
     }
 
     private void begin(Life life, Life.Attempt a) {
--- a/core/src/main/java/sorrelhoist/core/record/Rename.java
+++ b/core/src/main/java/sorrelhoist/core/record/Rename.java
@@ -37,7 +37,7 @@
                     s.cell(), s.state(), s.size(), s.since())).toList());
         } else if (event instanceof Arrived e) {
             return new Arrived(e.id(), e.cls(), e.tenant(), name("session-", e.session()), name("prefix-", e.prefix()),
-                    e.promptTokens(), e.prefixTokens(), e.maxTokens(), e.budgetMicros());
+                    e.promptTokens(), e.prefixTokens(), e.maxTokens(), e.budgetMicros(), e.resumed());
         } else if (event instanceof AttemptEnded e) {
             return new AttemptEnded(e.id(), e.attempt(), server(e.server()), e.outcome(), e.tookMicros(), e.ended(),
                     e.note(), e.report());
--- a/decide/src/main/java/sorrelhoist/Decide.java
+++ b/decide/src/main/java/sorrelhoist/Decide.java
@@ -67,6 +67,7 @@
     private static final double COLD_SAFETY = 0.8; // of what the rule would bear: others' sends are unseen
     private static final double COLD_TURNS = 0.5; // a router's turns at a cold server, knowing nothing
     private static final double DOOR = 1; // of the aim that a request may need: beyond it, it is refused
+    private static final double RESUMED_DOOR = 0.5; // of the time left, where an answer has begun already
     private static final double DOOR_FOR_LESS = 0.85; // where a class of more worth needs the room
     private static final double OVER_SHARE_DOOR = 0.35; // where a tenant within its share does
     private static final double ALWAYS_IN = 12; // waiting requests, over all routers, always let in to learn
@@ -1006,7 +1007,10 @@
         double lag = Math.max(faded(firstLag), lags.length == 0 ? 0 : lags[lags.length / 3]);
         double expected = read + firstTokens.at(r.prompt()) + lag;
         boolean spare = waiting - random.nextDouble() <= ALWAYS_IN / settings.routers();
+        // After a loss of servers many come for the rest of broken answers, with all their text to read; the
+        // aim alone turns most away, and what was written for them is lost. Harm: new ones wait behind them.
         double limit = door * Math.min(r.aim, tightest);
+        limit = r.arrival.resumed() ? Math.max(limit, RESUMED_DOOR * (r.deadline - now)) : limit;
         Kind kind = over ? Kind.DOOR_SHARE : less ? Kind.DOOR_LESS_WORTH : Kind.DOOR;
         return spare || expected <= limit ? null
                 : Reason.door(kind, expected, limit, read, firstTokens.at(r.prompt()), lag);
--- a/decide/src/main/java/sorrelhoist/Routing.java
+++ b/decide/src/main/java/sorrelhoist/Routing.java
@@ -167,9 +167,16 @@
      * @param prefixTokens those among them that belong to the shared beginning
      * @param maxTokens the most that may be answered
      * @param budgetMicros time until the client gives up
+     * @param resumed whether its client has the beginning of the answer, of a stream that broke or was moved
      */
     public record Arrived(long id, int cls, int tenant, String session, String prefix, long promptTokens,
-            long prefixTokens, long maxTokens, long budgetMicros) implements Event {
+            long prefixTokens, long maxTokens, long budgetMicros, boolean resumed) implements Event {
+        /** A request whose client has nothing yet. */
+        public Arrived(long id, int cls, int tenant, String session, String prefix, long promptTokens,
+                long prefixTokens, long maxTokens, long budgetMicros) {
+            this(id, cls, tenant, session, prefix, promptTokens, prefixTokens, maxTokens, budgetMicros,
+                    false);
+        }
     }
 
     /**
--- a/decide/src/test/java/sorrelhoist/DecideTest.java
+++ b/decide/src/test/java/sorrelhoist/DecideTest.java
@@ -385,6 +385,20 @@
         assertTrue(refused > 50 && refused < 96, "refused " + refused);
     }
 
+    /** A crash of servers breaks many answers at once: by the first aim alone their clients were turned away. */
+    @Test
+    void whoComesForTheRestOfAnAnswerIsLetInBeyondTheAimButNotWithoutEnd() {
+        int[] refused = new int[2];
+        for (int kind = 0; kind < 2; kind++) {
+            Decide d = start(plain(), fleet());
+            for (int i = 0; i < 100; i++) {
+                Arrived a = new Arrived(i, 0, 0, "s" + i, null, 3000, 0, 200, 4 * SECOND, kind == 1);
+                refused[kind] += all(d.on(now, a), Refuse.class).size();
+            }
+        }
+        assertTrue(refused[1] > 0 && refused[1] < refused[0] - 10, refused[1] + " against " + refused[0]);
+    }
+
     @Test
     void oddButLegalHistoriesDoNotThrow() {
         Send s = arrive(1, "a", null, 1000, 0);
