--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/life/OpaqueStreamsTest.java
@@ -0,0 +1,95 @@
+package sorrelhoist.core.life;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import sorrelhoist.Routing.*;
+
+/** A router whose answers are events of its engines, and whose clients come again for the rest by themselves. */
+class OpaqueStreamsTest {
+    private static final long SILENCE = 4 * Fleet.SECOND;
+    private final List<Order> orders = new ArrayList<>();
+    private final Router router = new Router(new RouterSettings("edge", 1, Fleet.decide(true),
+            List.of(Long.MAX_VALUE / 4, 0L, 0L), List.of(0L, 0L, 0L), 0, false, Fleet.STALL, 100, 7,
+            new Streams(true, false, SILENCE, true)), orders::add);
+
+    private <T extends Order> T last(Class<T> type) {
+        return orders.stream().filter(type::isInstance).map(type::cast).reduce((a, b) -> b).orElseThrow();
+    }
+
+    private long count(Class<? extends Order> type) {
+        return orders.stream().filter(type::isInstance).count();
+    }
+
+    private Order.Write placed() {
+        router.members(0, ListForm.COMPLETE, Fleet.servers());
+        router.arrived(0, Fleet.call(Fleet.SAFE, 1, 2 * Fleet.SECOND));
+        router.readDone(10_000, last(Order.Read.class).attempt(), "", 0, Load.NONE);
+        return last(Order.Write.class);
+    }
+
+    private void pass(long from, long to) {
+        for (long t = from; t <= to; t += 1000) {
+            router.advance(t);
+        }
+    }
+
+    @Test
+    void eventsArePassedOnAsTheyAreAndNotCountedAgainstTheMostTokens() {
+        Order.Write w = placed();
+        Object[] events = {new Object(), new Object(), new Object()};
+        for (Object event : events) {
+            assertTrue(router.event(20_000, w.attempt(), event));
+            assertSame(event, last(Order.Deliver.class).ticket());
+        }
+        router.streamWhole(30_000, w.attempt(), 5, Load.NONE);
+        assertInstanceOf(Answer.Served.class, last(Order.Finish.class).answer());
+        assertFalse(router.event(40_000, w.attempt(), new Object()));
+        assertEquals(0, router.known());
+    }
+
+    @Test
+    void enginesKnowARequestByItsClientsName() {
+        Order.Write w = placed();
+        assertEquals("c", w.name());
+        assertEquals("c", last(Order.Read.class).name());
+    }
+
+    @Test
+    void theClientsTimeDoesNotEndAStreamThatHasBegun() {
+        Order.Write w = placed();
+        router.event(20_000, w.attempt(), "e");
+        pass(20_000, 3 * Fleet.SECOND);
+        assertEquals(0, count(Order.Finish.class));
+        router.event(3 * Fleet.SECOND, w.attempt(), "e");
+        router.streamWhole(3 * Fleet.SECOND, w.attempt(), 0, Load.NONE);
+        assertInstanceOf(Answer.Served.class, last(Order.Finish.class).answer());
+    }
+
+    @Test
+    void aSilentStreamEndsAfterThePlatformsLimitAndNotBefore() {
+        Order.Write w = placed();
+        router.event(20_000, w.attempt(), "e");
+        pass(20_000, SILENCE);
+        assertEquals(0, count(Order.Finish.class));
+        pass(SILENCE, SILENCE + 30_000);
+        assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
+        assertEquals(w.attempt(), last(Order.Drop.class).attempt());
+    }
+
+    @Test
+    void aBrokenStreamIsTheClientsToAskForAgain() {
+        Order.Write w = placed();
+        router.event(20_000, w.attempt(), "e");
+        router.attemptLost(30_000, w.attempt(), Outcome.RESET, 0, Load.NONE);
+        assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
+        assertEquals(1, count(Order.Read.class));
+        assertEquals(0, router.known());
+    }
+}
--- /dev/null
+++ b/protocol/src/test/java/sorrelhoist/protocol/http1/HttpBodyTest.java
@@ -0,0 +1,85 @@
+package sorrelhoist.protocol.http1;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class HttpBodyTest {
+    private static HttpBody body(int status, Map<String, String> headers) throws HttpParser.BadMessage {
+        return HttpBody.of(new HttpHead("", "", status, headers));
+    }
+
+    private static HttpBody chunked() throws HttpParser.BadMessage {
+        return body(200, Map.of("transfer-encoding", "chunked"));
+    }
+
+    private static String read(HttpBody body, ByteBuf in) throws HttpParser.BadMessage {
+        StringBuilder all = new StringBuilder();
+        for (ByteBuf part = body.next(in); part != null; part = body.next(in)) {
+            all.append(part.toString(StandardCharsets.US_ASCII));
+        }
+        return all.toString();
+    }
+
+    private static ByteBuf bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+    }
+
+    @Test
+    void partsComeAsTheyArriveHoweverTheBytesAreCut() throws Exception {
+        String wire = "4;x=y\r\nabcd\r\n3\r\nefg\r\n0\r\nt: u\r\n\r\nHTTP";
+        for (int cut = 0; cut <= wire.length(); cut++) {
+            HttpBody body = chunked();
+            ByteBuf second = bytes(wire.substring(cut));
+            String got = read(body, bytes(wire.substring(0, cut)));
+            got += read(body, second);
+            assertEquals("abcdefg", got);
+            assertTrue(body.ended());
+            assertTrue(cut > wire.length() - 4 || second.toString(StandardCharsets.US_ASCII).equals("HTTP"));
+        }
+    }
+
+    @Test
+    void aLengthIsReadToItsEndAndNoFurther() throws Exception {
+        HttpBody body = body(202, Map.of("content-length", "3"));
+        ByteBuf in = bytes("abcHTTP/1.1");
+        assertEquals("abc", read(body, in));
+        assertTrue(body.ended() && in.readableBytes() == 8);
+        assertTrue(body(204, Map.of()).ended());
+        assertTrue(body(200, Map.of()).endsWithConnection());
+    }
+
+    @Test
+    void spoiltFramingIsSaidAndNeverHeld() throws Exception {
+        for (String bad : new String[] {"xyz\r\n", "-1\r\n", "\r\n", "c0000000\r\n", "2\r\nabc\r\n", "4\n"}) {
+            HttpBody body = chunked();
+            assertThrows(HttpParser.BadMessage.class, () -> read(body, bytes(bad)), bad);
+        }
+        HttpBody endless = chunked();
+        assertThrows(HttpParser.BadMessage.class, () -> {
+            for (int i = 0; i < 100; i++) {
+                read(endless, bytes("1".repeat(1000)));
+            }
+        });
+        for (String length : new String[] {"-1", "+1", "1x", "", "9999999999", "5, 5"}) {
+            assertThrows(HttpParser.BadMessage.class, () -> body(200, Map.of("content-length", length)), length);
+        }
+    }
+
+    @Test
+    void aHeadThatDoesNotEndIsBounded() {
+        HttpHeadParser heads = new HttpHeadParser(false, 1000);
+        assertThrows(HttpParser.BadMessage.class, () -> {
+            for (int i = 0; i < 100; i++) {
+                assertFalse(heads.next(bytes("x".repeat(100))) != null);
+            }
+        });
+    }
+}
