--- a/core/src/main/java/sorrelhoist/core/life/Router.java
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -341,6 +342,23 @@
         draining = true;
     }
 
+    /** {@return streams that run, where their clients come again for the rest of one that is moved} */
+    public int movable() {
+        return settings.streams().clientsResume() ? (int) lives.known().stream().filter(Router::running).count() : 0;
+    }
+
+    /** Moves the streams that began last: each ends without its end, and its client comes again. */
+    public void moveYoungest(long time, int count) {
+        at(time);
+        lives.known().stream().filter(Router::running).sorted(Comparator.comparingInt(l -> l.tokens)).limit(count)
+                .toList().forEach(this::move);
+        drain();
+    }
+
+    private static boolean running(Life life) {
+        return !life.finished && life.phase == Phase.STREAMING;
+    }
+
     /** Ends what is still open: each client is told, nothing is left held. */
     public void endAll(long time, String why) {
         at(time);
--- a/core/src/test/java/sorrelhoist/core/life/OpaqueStreamsTest.java
+++ b/core/src/test/java/sorrelhoist/core/life/OpaqueStreamsTest.java
@@ -83,6 +83,19 @@
         assertEquals(w.attempt(), last(Order.Drop.class).attempt());
     }
 
+    @Test
+    void aDepartureMovesWhatHasBegunAndNothingElse() {
+        Order.Write w = placed();
+        assertEquals(0, router.movable());
+        router.event(20_000, w.attempt(), "e");
+        router.arrived(30_000, Fleet.call(Fleet.SAFE, 1, 2 * Fleet.SECOND));
+        assertEquals(1, router.movable());
+        router.moveYoungest(40_000, 5);
+        assertEquals(w.attempt(), last(Order.Drop.class).attempt());
+        assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
+        assertEquals(1, router.open());
+    }
+
     @Test
     void aBrokenStreamIsTheClientsToAskForAgain() {
         Order.Write w = placed();
