Read the prompt anew at a reader after an answer that broke off before its first event

Checked: the bytes of each spoilt opening and when they came (a probe in WorkerConnection); all 57 were noticed within 0.1 ms of the byte that spoilt them, so parsing is not it. A writer that had begun had fetched the state; Decide.retry sent the next writer there without one, which read the whole prompt itself at a third of a reader's pace. Now the repeat goes to a reader, which has kept the text.

Router lets the first state go when it reads anew: HistoriesTest found it pinned.

--- a/core/src/main/java/sorrelhoist/core/life/Holds.java
+++ b/core/src/main/java/sorrelhoist/core/life/Holds.java
@@ -50,15 +50,20 @@
         }
     }
 
+    /** The prompt is read anew: a state of an earlier read would be forgotten, and stay pinned. */
+    void readAnew(Life life) {
+        if (life.state != null) {
+            carrier.accept(new Order.Release(life.name, life.state.engine(), life.state.state(), "", 0));
+            life.state = null;
+        }
+    }
+
     /** Lets go of all that is held for a request, unless an attempt is about to take it. */
     void release(Life life) {
         if (life == null || life.out != null) {
             return;
         }
-        if (life.state != null) {
-            carrier.accept(new Order.Release(life.name, life.state.engine(), life.state.state(), "", 0));
-            life.state = null;
-        }
+        readAnew(life);
         releasePlace(life);
     }
 
--- a/core/src/main/java/sorrelhoist/core/life/Router.java
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -638,6 +638,7 @@
             alarms.set(cut, new Cut(life, a));
         }
         if (read) {
+            holds.readAnew(life);
             carrier.accept(new Order.Read(id, life.name, s.server(), life.call, life.prompt(),
                     life.promptTokens(), cut, s.why()));
         } else {
--- a/core/src/test/java/sorrelhoist/core/life/RouterTest.java
+++ b/core/src/test/java/sorrelhoist/core/life/RouterTest.java
@@ -102,6 +102,17 @@
         nothingLeft();
     }
 
+    /** Decide goes back to a reader after a writer's error, with the first state still at its reader. */
+    @Test
+    void aStateIsLetGoWhenThePromptIsReadAnew() {
+        Order.Write w = placed(0, Fleet.SAFE, 10, 0);
+        router.attemptLost(20_000, w.attempt(), Outcome.ERROR, 0, Load.NONE);
+        assertEquals("s1", last(Order.Release.class).state());
+        assertEquals(2, all(Order.Read.class).size());
+        router.readDone(30_000, last(Order.Read.class).attempt(), "s2", 100, Load.NONE);
+        assertEquals("s2", last(Order.Write.class).state().state());
+    }
+
     @Test
     void aBrokenStreamGoesOnFromItsLastToken() {
         Order.Write w = placed(0, Fleet.SAFE, 10, 0);
--- a/decide/src/main/java/sorrelhoist/Decide.java
+++ b/decide/src/main/java/sorrelhoist/Decide.java
@@ -391,12 +391,8 @@
 
     /** By how much the oldest own attempt there is late; one overtaken by a later one is lost: no jam. */
     private double overdue(Peer p) {
-        for (Attempt a : p.waiting.values()) {
-            if (a.sentAt > p.provenAt) {
-                return Math.max(0, now - a.sentAt - a.cost);
-            }
-        }
-        return 0;
+        return p.waiting.values().stream().filter(a -> a.sentAt > p.provenAt).findFirst()
+                .map(a -> Math.max(0, now - a.sentAt - a.cost)).orElse(0.0);
     }
 
     /** Equals are parted by the conversation's hash: by their order all routers would pile on the first. */
@@ -633,6 +629,10 @@
         if (e.outcome() == Outcome.FULL && e.note() == 1) {
             r.reader = null;
             r.failed.remove(a.peer);
+        } else if (e.outcome() == Outcome.ERROR || e.outcome() == Outcome.RESET) {
+            // What broke off has mostly fetched the state: the next writer would read it all, slowing others.
+            // A reader has kept the text and is quick; harm: a state that still waits is read twice.
+            r.reader = null;
         }
         r.full = e.outcome() == Outcome.FULL;
         if (r.mayHaveRunAt != null && r.cls.repeat() == Repeat.UNSAFE) {
--- a/protocol/src/main/java/sorrelhoist/protocol/http1/HttpBody.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/http1/HttpBody.java
@@ -8,6 +8,7 @@
     private enum At { LENGTH, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_CLOSE, ENDED }
 
     private static final int MAX_LINES = 16 << 10;
+    private static final int MAX_DIGITS = 7; // of a chunk's size: 256 MiB
     private final long length;
     private final StringBuilder line = new StringBuilder();
     private At at;
@@ -96,10 +97,28 @@
                 return HttpParser.ended(line);
             }
             line.append(c);
+            if (at == At.CHUNK_SIZE && !maySize() || at == At.CHUNK_END && c != '\r') {
+                // Said at once: what is no size need not end with a line feed, and nothing may follow it.
+                throw new BadMessage(400, "a chunk's size is no number, or does not fit");
+            }
         }
         return null;
     }
 
+    /** {@return whether the part of a size that has come can become one: digits, then white space or an extension} */
+    private boolean maySize() {
+        int digits = 0;
+        while (digits < line.length() && hex(line.charAt(digits))) {
+            digits++;
+        }
+        return digits > 0 && digits <= MAX_DIGITS
+                && (digits == line.length() || " \t;\r".indexOf(line.charAt(digits)) >= 0);
+    }
+
+    private static boolean hex(char c) {
+        return c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F';
+    }
+
     private void take(String whole) throws BadMessage {
         if (at == At.CHUNK_SIZE) {
             left = size(whole);
@@ -118,7 +137,7 @@
     private static long size(String whole) throws BadMessage {
         int semicolon = whole.indexOf(';');
         String size = (semicolon < 0 ? whole : whole.substring(0, semicolon)).strip();
-        if (size.isEmpty() || size.length() > 7 || size.chars().anyMatch(c -> Character.digit(c, 16) < 0 || c > 'f')) {
+        if (size.isEmpty() || size.length() > MAX_DIGITS || !size.chars().allMatch(c -> hex((char) c))) {
             throw new BadMessage(400, "a chunk's size is no number");
         }
         return Long.parseLong(size, 16);
--- a/protocol/src/main/java/sorrelhoist/protocol/http1/HttpHeadParser.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/http1/HttpHeadParser.java
@@ -11,6 +11,7 @@
  * take for two different things is refused: bare line feeds, white space before a colon, content-length twice.
  */
 public final class HttpHeadParser {
+    private static final String RESPONSE = "HTTP/1.";
     private static final int MAX_START_LINES = 4; // empty lines before a message (RFC 9112, section 2.2)
     private final boolean requests;
     private final int maxHead;
@@ -73,10 +74,24 @@
                 return HttpParser.ended(line);
             }
             line.append(c);
+            if (!started && !mayBegin()) {
+                // Said at once: noise need not hold a line feed, and nothing may follow it.
+                throw new BadMessage(400, "the first line is no HTTP/1.1");
+            }
         }
         return null;
     }
 
+    /** {@return whether the part of a first line that has come can become one} */
+    private boolean mayBegin() {
+        int last = line.length() - 1;
+        if (line.charAt(0) == '\r') {
+            return last == 0;
+        }
+        return requests ? last > 0 || isToken(line.toString())
+                : last >= RESPONSE.length() || line.charAt(last) == RESPONSE.charAt(last);
+    }
+
     private void startLine(String whole) throws BadMessage {
         String[] parts = whole.split(" ", 3);
         boolean fits = requests ? parts.length == 3 && version(parts[2]) && !parts[1].isEmpty() && !parts[0].isEmpty()
--- a/protocol/src/test/java/sorrelhoist/protocol/http1/HttpBodyTest.java
+++ b/protocol/src/test/java/sorrelhoist/protocol/http1/HttpBodyTest.java
@@ -73,6 +73,20 @@
         }
     }
 
+    /** Behind noise nothing may follow: whoever waits for a line feed waits for its time-out. */
+    @Test
+    void noiseIsSaidAtOnceWithoutALineFeed() throws Exception {
+        for (String noise : new String[] {"\u0007", "ICY", "HTTP/2", "http/1.1", " HTTP/1.1"}) {
+            HttpHeadParser heads = new HttpHeadParser(false, 1000);
+            assertThrows(HttpParser.BadMessage.class, () -> heads.next(bytes(noise)), noise);
+        }
+        for (String noise : new String[] {"x", "-", "12345678", "1\u0007", "2\r\nabc"}) {
+            HttpBody body = chunked();
+            assertThrows(HttpParser.BadMessage.class, () -> read(body, bytes(noise)), noise);
+        }
+        assertEquals(200, new HttpHeadParser(false, 1000).next(bytes("\r\nHTTP/1.1 200 OK\r\n\r\n")).status());
+    }
+
     @Test
     void aHeadThatDoesNotEndIsBounded() {
         HttpHeadParser heads = new HttpHeadParser(false, 1000);
