--- /dev/null
+++ b/app/src/test/java/sorrelhoist/app/DeployTest.java
@@ -0,0 +1,73 @@
+package sorrelhoist.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What `run` of deploy/balancer.toml starts: a shell that may use nothing but itself, and ends as the router. */
+class DeployTest {
+    private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
+    @TempDir
+    private Path folder;
+
+    /** The only program on the path is a java that says how it was called, and under which process number. */
+    @BeforeEach
+    void onlyJava() throws IOException {
+        Path java = Files.createDirectories(folder.resolve("bin")).resolve("java");
+        Files.writeString(java, "#!/bin/sh\nfor a in \"$@\"; do echo \"$a\"; done\necho \"pid=$$\"\n");
+        Files.setPosixFilePermissions(java, PosixFilePermissions.fromString("rwxr-xr-x"));
+    }
+
+    @Test
+    void theHeapIsThreeTenthsOfTheMemoryHoweverTheFileIsWritten() throws Exception {
+        assertTrue(run("{\"limits\":{\"cores\":0.3,\"memory_mb\":160,\"sockets\":512},\"name\":\"n1\"}")
+                .contains("-Xmx48m"));
+        assertTrue(run("{\n  \"name\": \"n1\",\n  \"limits\": {\n    \"cores\": 0.3,\n    \"memory_mb\" :\t 160\n  }\n}\n")
+                .contains("-Xmx48m"));
+        assertTrue(run("{\n\"memory_mb\":160}").contains("-Xms48m"), "a last line without its end");
+    }
+
+    @Test
+    void theHeapIsBoundedAndHasADefault() throws Exception {
+        assertTrue(run("{\"limits\":{\"memory_mb\":16}}").contains("-Xmx12m"));
+        assertTrue(run("{\"limits\":{\"memory_mb\":2048}}").contains("-Xmx64m"));
+        assertTrue(run("{\"limits\":{}}").contains("-Xmx38m"), "128 MB where nothing is said");
+        assertTrue(run("").contains("-Xmx38m"));
+    }
+
+    @Test
+    void theLastArgumentsAreTheProgramItself() throws Exception {
+        List<String> said = run("{}");
+        assertEquals("sorrelhoist.platform.Platform", said.get(said.size() - 2));
+    }
+
+    private List<String> run(String config) throws IOException, InterruptedException {
+        Path file = Files.writeString(folder.resolve("config.json"), config);
+        String run = Files.readAllLines(ROOT.resolve("deploy/balancer.toml")).stream()
+                .filter(l -> l.startsWith("run = \"")).map(l -> l.replaceAll("run = \"([^\"]*)\".*", "$1"))
+                .findFirst().orElseThrow();
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).directory(ROOT.toFile())
+                .redirectErrorStream(true);
+        builder.environment().clear();
+        builder.environment().put("PATH", folder.resolve("bin").toString());
+        builder.environment().put("LB_CONFIG", file.toString());
+        Path out = folder.resolve("out");
+        Process shell = builder.redirectOutput(out.toFile()).start();
+        assertTrue(shell.waitFor(60, TimeUnit.SECONDS));
+        List<String> said = Files.readAllLines(out);
+        assertEquals(0, shell.exitValue(), said.toString());
+        assertFalse(said.stream().anyMatch(l -> l.contains("not found")), said.toString());
+        assertEquals("pid=" + shell.pid(), said.get(said.size() - 1), "started by exec, in the shell's own process");
+        return said;
+    }
+}
