--- a/adapter/src/main/java/sorrelhoist/wire/Fields.java
+++ b/adapter/src/main/java/sorrelhoist/wire/Fields.java
@@ -58,6 +58,12 @@
                 }
                 yield list;
             }
+            default -> scalar(parser);
+        };
+    }
+
+    static Object scalar(JsonParser parser) throws IOException {
+        return switch (parser.currentToken()) {
             case VALUE_STRING -> parser.getText();
             case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> parser.getNumberValue();
             case VALUE_TRUE -> Boolean.TRUE;
@@ -66,6 +72,10 @@
         };
     }
 
+    static Fields of(Map<String, Object> values) {
+        return new Fields(values);
+    }
+
     /** A text that has to be there. */
     public String text(String name) throws WireException {
         String text = text(name, null);
