Read anew when the state would have to wait for one more connection to a writer

Cause: attemptEnded set idleSince anew after each failed connection, so what was held looked fresh; the platform says that its time runs on while connections do not come up. It runs on now, and a state that could not bear one more such wait is read anew at a reader, as after a reset. The ordinary path is as it was.

DecideTest.aStateIsReadAnewRatherThanPinnedWhileWritersCannotBeReached fails without it.

--- a/decide/src/main/java/sorrelhoist/Decide.java
+++ b/decide/src/main/java/sorrelhoist/Decide.java
@@ -184,10 +184,8 @@
         act(new Timer(TICK, TICK_TOKEN));
         for (Role role : serving.keySet()) {
             List<Peer> all = serving.get(role);
-            double served = 0;
-            for (Peer p : all) {
-                served += p.servedSince(now - SERVED_WINDOWS * settings.rules().fallMicros());
-            }
+            long from = now - SERVED_WINDOWS * settings.rules().fallMicros();
+            double served = all.stream().mapToLong(p -> p.servedSince(from)).sum();
             double lived = (now - startedAt) / (double) settings.rules().fallMicros();
             double passed = Math.min(SERVED_WINDOWS, lived);
             double sure = (served - 2 * Math.sqrt(served)) / Math.max(1, passed) / Math.max(1, all.size());
@@ -538,15 +536,19 @@
         Peer writer = trial != null ? trial : pickWriter(r.reader, writers);
         if (writer != null) {
             send(r, writer, false);
-        } else if (now + HOLD_STEP < r.idleSince + HOLD_SHARE * settings.rules().releaseMicros()) {
+        } else if (now + HOLD_STEP < heldUntil(r)) {
             act(new Timer(HOLD_STEP, r.id));
         } else {
             Kind lacks = lacking(Role.WRITE, r);
-            giveUp(r, Reason.compared(lacks == Kind.NO_SERVER ? Kind.HELD_TOO_LONG : lacks, now - r.idleSince,
-                    HOLD_SHARE * settings.rules().releaseMicros()));
+            Kind why = lacks == Kind.NO_SERVER ? Kind.HELD_TOO_LONG : lacks;
+            giveUp(r, Reason.compared(why, now - r.idleSince, heldUntil(r) - r.idleSince));
         }
     }
 
+    private double heldUntil(Request r) {
+        return r.idleSince + HOLD_SHARE * settings.rules().releaseMicros();
+    }
+
     /** Names what keeps a role's servers from a request for which none could be found. */
     private Kind lacking(Role role, Request r) {
         List<Peer> all = serving.getOrDefault(role, List.of());
@@ -598,7 +600,8 @@
         }
         Attempt a = r.attempt;
         r.attempt = null;
-        r.idleSince = now;
+        // While a writer could not even be reached, the state that waits for it has waited on.
+        r.idleSince = !a.read && e.outcome() == Outcome.CONNECT_FAILED ? r.idleSince : now;
         a.peer.out--;
         a.peer.waiting.remove(r.id);
         a.peer.tokens -= a.tokens;
@@ -629,9 +632,11 @@
         if (e.outcome() == Outcome.FULL && e.note() == 1) {
             r.reader = null;
             r.failed.remove(a.peer);
-        } else if (e.outcome() == Outcome.ERROR || e.outcome() == Outcome.RESET) {
+        } else if (e.outcome() == Outcome.ERROR || e.outcome() == Outcome.RESET
+                || e.outcome() == Outcome.CONNECT_FAILED && now + e.tookMicros() > heldUntil(r)) {
             // What broke off has mostly fetched the state: the next writer would read it all, slowing others.
-            // A reader has kept the text and is quick; harm: a state that still waits is read twice.
+            // And a state may not wait for one more such connection. A reader has kept the text and is quick;
+            // harm: a state that still waits is read twice.
             r.reader = null;
         }
         r.full = e.outcome() == Outcome.FULL;
@@ -646,28 +651,26 @@
     }
 
     private void clientGone(long id) {
-        Request r = requests.get(id);
-        if (r != null) {
-            r.answered = true;
-            settle(r);
-            if (r.attempt == null) {
-                finish(r);
-            } else if (settings.limits().cancel() && !r.streaming) {
-                act(new Cancel(id, r.attempt.number, Reason.of(Kind.CLIENT_GONE)));
-            }
+        if (requests.containsKey(id)) {
+            conclude(requests.get(id), false, Reason.of(Kind.CLIENT_GONE));
         }
     }
 
     /** The final answer goes out at once, with a hint when to come back where clients hear one. */
     private void giveUp(Request r, Reason why) {
-        r.answered = true;
-        settle(r);
         long hint = Math.min(settings.limits().maxBackoffMicros(), BACKOFF + random.nextLong(BACKOFF));
         act(mayRefuse(r) ? new Refuse(r.id, settings.limits().backoffHints() ? hint : 0, why)
                 : new Fail(r.id, why));
+        conclude(r, true, why);
+    }
+
+    /** Nothing more is owed to the client: what is still out for it ends, a stream only if told to. */
+    private void conclude(Request r, boolean streams, Reason why) {
+        r.answered = true;
+        settle(r);
         if (r.attempt == null) {
             finish(r);
-        } else if (settings.limits().cancel()) {
+        } else if (settings.limits().cancel() && (streams || !r.streaming)) {
             act(new Cancel(r.id, r.attempt.number, why));
         }
     }
@@ -736,9 +739,7 @@
                 a.peer.readDoneAt = now;
                 noteHolder(r, a.peer, true);
             }
-            case DONE -> {
-                heard(a.peer, true, fit(answers, r.arrival.maxTokens(), e.tookMicros()));
-            }
+            case DONE -> heard(a.peer, true, fit(answers, r.arrival.maxTokens(), e.tookMicros()));
             case FULL -> {
                 if (e.note() != 1) { // for others there may be room
                     long pause = (long) Math.max(FULL_PAUSE, FULL_TIMES * e.tookMicros());
--- a/decide/src/test/java/sorrelhoist/DecideTest.java
+++ b/decide/src/test/java/sorrelhoist/DecideTest.java
@@ -124,6 +124,22 @@
         assertNotEquals(s.server(), again.server());
     }
 
+    /** While connections to writers do not come up, what was read waits on; a second wait would pin it. */
+    @Test
+    void aStateIsReadAnewRatherThanPinnedWhileWritersCannotBeReached() {
+        Send w = read(arrive(1, "a", null, 1000, 0), 0);
+        assertEquals(1, w.id());
+        assertTrue(w.server().startsWith("w"));
+        now += 20_000;
+        Send quick = send(decide.on(now, ended(w, 1, Outcome.CONNECT_FAILED, 20_000, 0)));
+        assertTrue(quick.server().startsWith("w"), "a refused connection costs the state next to no time");
+        now += 240_000;
+        Send anew = send(decide.on(now, ended(quick, 2, Outcome.CONNECT_FAILED, 240_000, 0)));
+        assertTrue(anew.server().startsWith("r"), anew + ": the same wait again would hold the state for too long");
+        Send last = send(decide.on(now + 50_000, ended(anew, 3, Outcome.READ, 50_000, 900)));
+        assertTrue(last.server().startsWith("w"));
+    }
+
     @Test
     void aBlackHoleLeavesTimeForAnotherAttempt() {
         Send s = arrive(1, "a", null, 1000, 0);
