--- a/protocol/src/main/java/sorrelhoist/protocol/http1/HttpBody.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/http1/HttpBody.java
@@ -10,10 +10,10 @@
     private static final int MAX_LINES = 16 << 10;
     private static final int MAX_DIGITS = 7; // of a chunk's size: 256 MiB
     private final long length;
-    private final StringBuilder line = new StringBuilder();
+    private final LineReader lines = new LineReader(MAX_LINES,
+            "more than " + MAX_LINES + " bytes in place of a chunk", this::look);
     private At at;
     private long left;
-    private int lineBytes;
 
     private HttpBody(At at, long length) {
         this.at = at;
@@ -79,7 +79,7 @@
                 }
                 return in.readSlice(part);
             }
-            String whole = line(in);
+            String whole = lines.next(in);
             if (whole != null) {
                 take(whole);
             }
@@ -87,26 +87,15 @@
         return null;
     }
 
-    private String line(ByteBuf in) throws BadMessage {
-        while (in.isReadable()) {
-            char c = (char) in.readUnsignedByte();
-            if (++lineBytes > MAX_LINES) {
-                throw new BadMessage(431, "more than " + MAX_LINES + " bytes in place of a chunk");
-            }
-            if (c == '\n') {
-                return HttpParser.ended(line);
-            }
-            line.append(c);
-            if (at == At.CHUNK_SIZE && !maySize() || at == At.CHUNK_END && c != '\r') {
-                // Said at once: what is no size need not end with a line feed, and nothing may follow it.
-                throw new BadMessage(400, "a chunk's size is no number, or does not fit");
-            }
+    private void look(StringBuilder line) throws BadMessage {
+        char last = line.charAt(line.length() - 1);
+        if (at == At.CHUNK_SIZE && !maySize(line) || at == At.CHUNK_END && last != '\r') {
+            throw new BadMessage(400, "a chunk's size is no number, or does not fit");
         }
-        return null;
     }
 
     /** {@return whether the part of a size that has come can become one: digits, then white space or an extension} */
-    private boolean maySize() {
+    private static boolean maySize(StringBuilder line) {
         int digits = 0;
         while (digits < line.length() && hex(line.charAt(digits))) {
             digits++;
@@ -123,7 +112,7 @@
         if (at == At.CHUNK_SIZE) {
             left = size(whole);
             at = left == 0 ? At.TRAILERS : At.CHUNK;
-            lineBytes = 0;
+            lines.more();
         } else if (at == At.CHUNK_END) {
             if (!whole.isEmpty()) {
                 throw new BadMessage(400, "a chunk is longer than it said");
--- a/protocol/src/main/java/sorrelhoist/protocol/http1/HttpHeadParser.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/http1/HttpHeadParser.java
@@ -14,9 +14,7 @@
     private static final String RESPONSE = "HTTP/1.";
     private static final int MAX_START_LINES = 4; // empty lines before a message (RFC 9112, section 2.2)
     private final boolean requests;
-    private final int maxHead;
-    private final StringBuilder line = new StringBuilder();
-    private int bytes;
+    private final LineReader lines;
     private int empty;
     private boolean started;
     private String method = "";
@@ -32,17 +30,17 @@
      */
     public HttpHeadParser(boolean requests, int maxHead) {
         this.requests = requests;
-        this.maxHead = maxHead;
+        this.lines = new LineReader(maxHead, "a head of more than " + maxHead + " bytes", this::look);
     }
 
     /** {@return whether bytes of a head have come that is not whole yet} */
     public boolean begun() {
-        return bytes > 0;
+        return lines.begun();
     }
 
     /** {@return the next whole head, or null where more bytes are needed} */
     public HttpHead next(ByteBuf in) throws BadMessage {
-        for (String whole = line(in); whole != null; whole = line(in)) {
+        for (String whole = lines.next(in); whole != null; whole = lines.next(in)) {
             if (!started) {
                 if (!whole.isEmpty()) {
                     startLine(whole);
@@ -55,7 +53,7 @@
             } else {
                 HttpHead head = new HttpHead(method, target, status, headers);
                 headers = new LinkedHashMap<>();
-                bytes = 0;
+                lines.more();
                 empty = 0;
                 started = false;
                 return head;
@@ -64,26 +62,14 @@
         return null;
     }
 
-    private String line(ByteBuf in) throws BadMessage {
-        while (in.isReadable()) {
-            char c = (char) in.readUnsignedByte();
-            if (++bytes > maxHead) {
-                throw new BadMessage(431, "a head of more than " + maxHead + " bytes");
-            }
-            if (c == '\n') {
-                return HttpParser.ended(line);
-            }
-            line.append(c);
-            if (!started && !mayBegin()) {
-                // Said at once: noise need not hold a line feed, and nothing may follow it.
-                throw new BadMessage(400, "the first line is no HTTP/1.1");
-            }
+    private void look(StringBuilder line) throws BadMessage {
+        if (!started && !mayBegin(line)) {
+            throw new BadMessage(400, "the first line is no HTTP/1.1");
         }
-        return null;
     }
 
     /** {@return whether the part of a first line that has come can become one} */
-    private boolean mayBegin() {
+    private boolean mayBegin(StringBuilder line) {
         int last = line.length() - 1;
         if (line.charAt(0) == '\r') {
             return last == 0;
--- a/protocol/src/main/java/sorrelhoist/protocol/http1/HttpParser.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/http1/HttpParser.java
@@ -66,17 +66,6 @@
         return head != null && body.endsWithConnection() ? done() : null;
     }
 
-    /** Takes a line that ended with a line feed, and empties the buffer. {@return the line without its end} */
-    static String ended(StringBuilder line) throws BadMessage {
-        int end = line.length() - 1;
-        if (end < 0 || line.charAt(end) != '\r') {
-            throw new BadMessage(400, "a line has to end with CR LF");
-        }
-        String whole = line.substring(0, end);
-        line.setLength(0);
-        return whole;
-    }
-
     private void grow(long more) throws BadMessage {
         if (content.size() + more > maxBody) {
             throw new BadMessage(413, "content of more than " + maxBody + " bytes");
