Tell the other routers of a server that is silent before its attempts are cut

Each router finds out by a lost request of its own, and what it felt was told only when an answer came.

A lag is now told while the attempt is out, each 0.4 s that it is overdue by more; it is the news there was, within the same price, and it fades as before.

--- a/decide/src/main/java/sorrelhoist/Decide.java
+++ b/decide/src/main/java/sorrelhoist/Decide.java
@@ -54,7 +54,7 @@
     private static final double RETRIES_SAVED = 25; // by all routers
     private static final double PROBE_SPEND = 0.0003; // points of the result spent on probes
     private static final double TELL_SPEND = 0.003; // and on messages to other routers
-    private static final long TELL_LAG = 100_000; // a lag worth telling
+    private static final long TELL_LAG = 100_000; // a lag worth telling; while it grows, each four times that
     private static final int TELL_BYTES = 256; // of one message: receivers take no more
     private static final long TAUGHT_FADE = 600_000_000; // in which what was taught is trusted a third
     private static final double TAUGHT_BAD = 0.4; // of failures taught at most: one own failure then decides
@@ -184,17 +184,18 @@
         act(new Timer(TICK, TICK_TOKEN));
         for (Role role : serving.keySet()) {
             List<Peer> all = serving.get(role);
-            long from = now - SERVED_WINDOWS * settings.rules().fallMicros();
-            double served = all.stream().mapToLong(p -> p.servedSince(from)).sum();
-            double lived = (now - startedAt) / (double) settings.rules().fallMicros();
-            double passed = Math.min(SERVED_WINDOWS, lived);
+            // A silent one is told of while attempts are out: until they are cut, others send there.
+            all.stream().filter(p -> overdue(p) >= 4 * TELL_LAG && overdue(p) % (4 * TELL_LAG) < TICK)
+                    .forEach(p -> tell(p, News.LAG, 0, (long) overdue(p) / 1000));
+            long window = settings.rules().fallMicros();
+            double served = all.stream().mapToLong(p -> p.servedSince(now - SERVED_WINDOWS * window)).sum();
+            double passed = Math.min(SERVED_WINDOWS, (now - startedAt) / (double) window);
             double sure = (served - 2 * Math.sqrt(served)) / Math.max(1, passed) / Math.max(1, all.size());
             mostServed[role.ordinal()] = Math.max(mostServed[role.ordinal()], sure);
         }
-        var eldest = keys.entrySet().iterator();
-        while (eldest.hasNext()
-                && (eldest.next().getValue().used <= now - KEY_AGE || keys.size() > MAX_KEYS)) {
-            eldest.remove();
+        var old = keys.entrySet().iterator();
+        while (old.hasNext() && (old.next().getValue().used <= now - KEY_AGE || keys.size() > MAX_KEYS)) {
+            old.remove();
         }
         if (probes >= 1 && settings.limits().probes() && settings.reports() == Reports.IN_PROBES) {
             peers.values().stream().filter(Peer::serving).min(Comparator.comparingLong(p -> p.probedAt))
--- a/decide/src/test/java/sorrelhoist/FleetTest.java
+++ b/decide/src/test/java/sorrelhoist/FleetTest.java
@@ -54,10 +54,19 @@
                 : Long.compare(a.order, b.order));
         final Map<Long, Integer> attempts = new TreeMap<>();
         final List<Decide> routers;
+        /** Reads sent there from this time on are never answered. */
+        String silent = "";
+        boolean told = true;
+        long silentFrom = Long.MAX_VALUE;
         long order;
 
-        World(List<Decide> routers) {
-            this.routers = routers;
+        /** Starts the routers in it, so that their own timers run, too. */
+        World(int n, List<Server> fleet) {
+            routers = new ArrayList<>();
+            for (int i = 0; i < n; i++) {
+                routers.add(new Decide(part(n, i), 31 + i));
+                later(0, i, new Members(ListForm.RESTORED, fleet));
+            }
         }
 
         void later(long at, int router, Event event) {
@@ -76,7 +85,7 @@
         void take(long now, int router, Action action) {
             if (action instanceof Timer t) {
                 later(now + Math.max(1, t.delayMicros()), router, new TimerFired(t.token()));
-            } else if (action instanceof Tell t) {
+            } else if (action instanceof Tell t && told) {
                 for (int i = 0; i < routers.size(); i++) {
                     if (i != router) {
                         later(now + 5000, i, new PeerMessage(router, t.body()));
@@ -85,7 +94,10 @@
             } else if (action instanceof Send s) {
                 sends.computeIfAbsent(s.server(), id -> new ArrayList<>()).add(now);
                 int n = attempts.merge(s.id(), 1, Integer::sum) - 1;
-                if (s.server().startsWith("r")) {
+                if (s.server().equals(silent) && now >= silentFrom) {
+                    later(s.cutAt(), router, new AttemptEnded(s.id(), n, s.server(), Outcome.TIMED_OUT,
+                            s.cutAt() - now, false, 0, Load.NONE));
+                } else if (s.server().startsWith("r")) {
                     later(now + 60_000, router, new AttemptEnded(s.id(), n, s.server(), Outcome.READ, 60_000,
                             false, 0, Load.NONE));
                 } else {
@@ -116,7 +128,7 @@
     @ValueSource(ints = {2, 50, 150})
     void allRoutersTogetherDoNotPushAColdServerOver(int n) {
         List<Server> fleet = fleet(10, 10);
-        World world = new World(routers(n, fleet));
+        World world = new World(n, fleet);
         Random random = new Random(n);
         long start = 30 * SECOND;
         for (int id = 0; id < 150 * 44; id++) {
@@ -141,11 +153,34 @@
         }
     }
 
+    /** {@return how many reads a reader got in the six seconds after it fell silent} */
+    private static long sentToSilent(int n, boolean told) {
+        World world = new World(n, fleet(10, 10));
+        world.told = told;
+        world.silent = "r3";
+        world.silentFrom = 20 * SECOND;
+        Random random = new Random(n);
+        for (int id = 0; id < 75 * 26; id++) {
+            world.later(SECOND + (long) (random.nextDouble() * 25 * SECOND), random.nextInt(n),
+                    request(id, "s" + random.nextInt(900), "p" + random.nextInt(60), 1000, 600));
+        }
+        world.play(26 * SECOND);
+        return world.mostWithin("r3", 20 * SECOND, 26 * SECOND, 6 * SECOND);
+    }
+
+    /** Each alone finds out by a request of its own that is lost, and sees too few to find out soon. */
+    @Test
+    void aReaderThatFallsSilentIsToldOfBeforeItsAttemptsAreCut() {
+        long alone = sentToSilent(100, false);
+        long told = sentToSilent(100, true);
+        assertTrue(told < 0.6 * alone, told + " reads sent to a silent reader, " + alone + " where none tells");
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {2, 150})
     void routersThatKnowNothingSendAColdFleetLittle(int n) {
         List<Server> cold = fleet(10, 10).stream().map(s -> with(s, ServerState.SERVING, SECOND)).toList();
-        World world = new World(routers(n, cold));
+        World world = new World(n, cold);
         Random random = new Random(n);
         for (int id = 0; id < 150 * 8; id++) {
             world.later(SECOND + (long) (random.nextDouble() * 8 * SECOND), random.nextInt(n),
@@ -172,7 +207,7 @@
 
     @Test
     void manyRoutersDoNotPileAHotPrefixOnOneReader() {
-        World world = new World(routers(100, fleet(10, 10)));
+        World world = new World(100, fleet(10, 10));
         Random random = new Random(3);
         for (int id = 0; id < 3000; id++) {
             world.later(SECOND + (long) (random.nextDouble() * 30 * SECOND), random.nextInt(100),
@@ -188,7 +223,7 @@
     void aCellWithFewWritersSendsItsSurplusToThoseWithMany() {
         List<Server> skewed = List.of(reader("r0", 0), reader("r1", 0), reader("r2", 0), reader("r3", 1),
                 writer("w0", 0), writer("w1", 1), writer("w2", 1), writer("w3", 1));
-        World world = new World(routers(40, skewed));
+        World world = new World(40, skewed);
         Random random = new Random(5);
         for (int id = 0; id < 2000; id++) {
             world.later(SECOND + (long) (random.nextDouble() * 30 * SECOND), random.nextInt(40),
