Forget servers that left for good: tables stay level while workers are replaced

Found by reading, on the list of open points: Router kept the kind of every engine it was ever told of, and Decide every peer; lists, cells and tags are walked at each change. An engine's kind goes with it now; a peer that is gone, has nothing out and was sent nothing for a minute goes, too. Room in Decide from settling a request where it finishes (it was settled just before in each case).

DecideTest.workersThatLeftForGoodLeaveNothingBehind (400 replacements) and RouterTest.enginesThatLeftAreForgottenHoweverTheListSaysIt fail without it.

--- a/core/src/main/java/sorrelhoist/core/life/Router.java
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -320,7 +320,16 @@
 
     /** The roster, or news of it. */
     public void members(long time, ListForm form, List<Server> servers) {
-        servers.forEach(s -> kinds.put(s.id(), s.kind()));
+        if (form == ListForm.COMPLETE) {
+            kinds.clear();
+        }
+        for (Server s : servers) {
+            if (s.state() == ServerState.GONE) {
+                kinds.remove(s.id());
+            } else {
+                kinds.put(s.id(), s.kind());
+            }
+        }
         tell(time, new Members(form, servers));
     }
 
@@ -383,6 +392,11 @@
         return alarms.next();
     }
 
+    /** {@return engines on the list held} */
+    public int engines() {
+        return kinds.size();
+    }
+
     /** {@return requests whose clients have no final answer yet} */
     public int open() {
         return lives.open();
--- a/core/src/test/java/sorrelhoist/core/life/RouterTest.java
+++ b/core/src/test/java/sorrelhoist/core/life/RouterTest.java
@@ -47,6 +47,19 @@
         assertEquals(0, router.held());
     }
 
+    @Test
+    void enginesThatLeftAreForgottenHoweverTheListSaysIt() {
+        Server first = Fleet.servers().get(0);
+        for (int i = 0; i < 1000; i++) {
+            Server fresh = new Server("n" + i, first.zone(), first.kind(), first.cell(), ServerState.SERVING, 1, 0);
+            Server left = new Server("n" + (i - 1), first.zone(), first.kind(), first.cell(), ServerState.GONE, 1, 0);
+            router.members(i, ListForm.UPDATE, List.of(left, fresh));
+        }
+        assertEquals(Fleet.servers().size() + 1, router.engines());
+        router.members(2000, ListForm.COMPLETE, Fleet.servers());
+        assertEquals(Fleet.servers().size(), router.engines());
+    }
+
     @Test
     void aRequestIsReadThenWrittenThenServed() {
         Order.Write w = placed(0, Fleet.SAFE, 10, 0);
--- a/decide/src/main/java/sorrelhoist/Decide.java
+++ b/decide/src/main/java/sorrelhoist/Decide.java
@@ -608,9 +608,6 @@
         a.peer.tokens -= a.tokens;
         reported(a.peer, e.report());
         r.answered |= e.ended() || r.streaming || e.outcome() == Outcome.DONE;
-        if (r.answered) {
-            settle(r);
-        }
         learn(r, a, e);
         if (r.answered) {
             finish(r);
@@ -684,6 +681,7 @@
     /** Nothing stays pinned, however a request ended. */
     private void finish(Request r) {
         requests.remove(r.id);
+        settle(r);
         if (r.sends > 0 && !r.streaming) {
             act(new Release(r.id));
         }
@@ -963,6 +961,8 @@
             }
             p.take(s);
         }
+        // Those that left for good would fill the tables; one sent to lately may be back.
+        peers.values().removeIf(p -> p.state == ServerState.GONE && p.out + p.sentSince(now - KEY_AGE) == 0);
         for (Role role : Role.values()) {
             serving.put(role, peers.values().stream()
                     .filter(p -> p.serving() && settings.kinds().get(p.kind).role() == role).toList());
--- a/decide/src/test/java/sorrelhoist/DecideTest.java
+++ b/decide/src/test/java/sorrelhoist/DecideTest.java
@@ -431,6 +431,22 @@
         assertTrue(refused[1] > 0 && refused[1] < refused[0] - 10, refused[1] + " against " + refused[0]);
     }
 
+    /** Workers come and go under new ids all day: what is known of those that left must not add up. */
+    @Test
+    void workersThatLeftForGoodLeaveNothingBehind() {
+        List<Server> present = new ArrayList<>(fleet());
+        for (int i = 0; i < 400; i++) {
+            now += 5 * SECOND;
+            Server old = present.remove(0);
+            Server fresh = new Server("n" + i, old.zone(), old.kind(), old.cell(), ServerState.SERVING, 1, 0);
+            present.add(fresh);
+            decide.on(now, new Members(ListForm.UPDATE, List.of(with(old, ServerState.GONE, 0), fresh)));
+            serve(i, "s" + i, null, 1000, 0, 0);
+        }
+        int known = decide.known(now, 100).servers().size();
+        assertTrue(known <= fleet().size() + 2 * 60 / 5, known + " servers known of 8 that are there");
+    }
+
     @Test
     void oddButLegalHistoriesDoNotThrow() {
         Send s = arrive(1, "a", null, 1000, 0);
