--- a/core/src/main/java/sorrelhoist/core/life/Neighbours.java
+++ b/core/src/main/java/sorrelhoist/core/life/Neighbours.java
@@ -4,52 +4,68 @@
 import java.util.Map;
 
 /**
- * Which other routers of the tier take requests, by their own word: each says so every second, and says when it is told
- * to end. Silence means that it is gone, so lost messages cost a second or two. Only a departure asks this; no request
- * is routed by it.
+ * Whether another router of the tier is there to take requests, by the others' own word. Each says so now and then, so
+ * that all together say a few words a second however many they are: messages are priced for each receiver. One that has
+ * just started says nothing yet, and one that is told to end says so. Lost messages cost a second or two. Only a
+ * departure asks this; no request is routed by it.
  */
 public final class Neighbours {
-    /** Between two words of a router, in microseconds. */
-    public static final long WORD = 1_000_000;
-    private static final long SILENT = 5 * WORD / 2;
+    private static final long SECOND = 1_000_000;
+    private static final int FLEET_WORDS = 4; // a second, by all routers together
+    private static final long SILENT = 5 * SECOND / 2;
     private static final String HERE = "@here";
     private static final String LEAVING = "@leaving";
-    private static final long SETTLED = 4 * WORD; // one that has just started is slow, and learns from nothing
-
-    /** A router's words without a silence between them: the first and the last. */
-    private record Words(long since, long last) {
-    }
-
+    private static final long SETTLED = 4 * SECOND; // one that has just started is slow, and learns from nothing
     private final int self;
-    private final Map<Integer, Words> here = new HashMap<>();
+    private final int routers;
+    private final long startedAt;
+    private final Map<Integer, Long> here = new HashMap<>();
 
     /**
      * Knows nobody.
      *
-     * @param self this router's number
+     * @param self this router's number, from 0
+     * @param routers how many there are
+     * @param startedAt when this one started, on the caller's clock in microseconds
      */
-    public Neighbours(int self) {
+    public Neighbours(int self, int routers, long startedAt) {
         this.self = self;
+        this.routers = routers;
+        this.startedAt = startedAt;
+    }
+
+    /** {@return microseconds between two words of this router} */
+    public long every() {
+        return Math.max(SECOND, SECOND * routers / FLEET_WORDS);
     }
 
-    /** {@return what to tell all others now} */
-    public String word(boolean leaving) {
-        return leaving ? LEAVING : HERE;
+    /** {@return microseconds from the start to its first word: routers that start together speak in turns} */
+    public long first() {
+        return SETTLED + every() * self / routers;
+    }
+
+    /**
+     * Says whether this router is there.
+     *
+     * @param now the caller's clock
+     * @param leaving whether it was told to end
+     * @return what to tell all others, or null where there is nothing to say
+     */
+    public String word(long now, boolean leaving) {
+        return leaving ? LEAVING : now - startedAt >= SETTLED ? HERE : null;
     }
 
     /**
      * Hears a message.
      *
-     * @param now the caller's clock, in microseconds
+     * @param now the caller's clock
      * @param from the sender's number
      * @param body the message
      * @return whether it was for this; others are the decisions'
      */
     public boolean heard(long now, int from, String body) {
         if (body.equals(HERE)) {
-            Words before = here.get(from);
-            boolean goesOn = before != null && now - before.last() <= SILENT;
-            here.put(from, new Words(goesOn ? before.since() : now, now));
+            here.put(from, now);
         } else if (body.equals(LEAVING)) {
             here.remove(from);
         } else {
@@ -58,9 +74,8 @@
         return true;
     }
 
-    /** {@return whether another router is there, and has been for a while} */
+    /** {@return whether another router is there that has been for a while} */
     public boolean any(long now) {
-        return here.entrySet().stream().anyMatch(e -> e.getKey() != self
-                && now - e.getValue().last() <= SILENT && now - e.getValue().since() >= SETTLED);
+        return here.entrySet().stream().anyMatch(e -> e.getKey() != self && now - e.getValue() <= SILENT);
     }
 }
