Tell the other routers which server fails and which is well again

Failures are told now, as what could not be reached was; those told by others count while fresh (three within about a second, beyond what the role's servers have in the middle, so that a common fault bars none). Who set a server aside by what was told tries it in a turn of the fleet's, about one trial a second by all together, and whoever finds it well tells that, too. Where messages are not allowed all is as before.

--- a/decide/src/main/java/sorrelhoist/Decide.java
+++ b/decide/src/main/java/sorrelhoist/Decide.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import sorrelhoist.Reason.Kind;
 import sorrelhoist.Routing.*;
 import sorrelhoist.State.*;
@@ -47,6 +48,7 @@
     private static final double CANDIDATE_FLOOR = 0.34; // of a role, always kept: the fault may be common
     private static final long FULL_PAUSE = 200_000; // after full, for its class and tenant, or this multiple
     private static final double FULL_TIMES = 40; // of the time it took to say so: a slow refusal is dear
+    private static final double FAILURES_TOLD = 2; // by others and not faded, beyond the peers': set aside
     private static final double LAG_FADE = 1_500_000; // in which a lag that was felt fades to a third
     private static final double CUT_SHARE = 0.6; // of the remaining time for an attempt, so that another fits
     private static final double CUT_FACTOR = 4; // of its expected time, if more: work may go on after a cut
@@ -307,14 +309,10 @@
 
     /** Shift: exploits of the heaviest reader go to the lightest while their loads lie too far apart. */
     private Peer shifted(Peer chosen, List<Peer> readers) {
-        Peer lightest = chosen;
-        Peer heaviest = chosen;
-        for (Peer p : readers) {
-            lightest = p.load < lightest.load ? p : lightest;
-            heaviest = p.load > heaviest.load ? p : heaviest;
-        }
+        Peer lightest = Collections.min(readers, Comparator.comparingDouble(p -> p.load));
+        double heaviest = readers.stream().mapToDouble(p -> p.load).max().orElse(0);
         double bound = SHIFT_THRESHOLD * lightest.load + readLines.get(chosen.kind).mean();
-        boolean shift = chosen == heaviest && chosen.load > bound;
+        boolean shift = chosen.load >= heaviest && chosen.load > bound;
         by = shift ? Kind.SHIFTED : by;
         return shift ? lightest : chosen;
     }
@@ -325,30 +323,17 @@
      * hanging reader, other routers' traffic. Harm: a text is read and kept twice.
      */
     private Peer unjammed(Peer chosen, Request r, List<Peer> readers) {
-        Peer soonest = chosen;
-        double least = completion(chosen, r);
-        double bound = least - readLines.get(chosen.kind).mean();
-        double own = least;
-        double second = Double.MAX_VALUE;
-        Peer runnerUp = null;
-        for (Peer p : readers) {
-            double end = completion(p, r);
-            if (end < least || end == least && nearer(r, p, soonest)) {
-                second = least;
-                runnerUp = soonest;
-                least = end;
-                soonest = p;
-            } else if (p != soonest && end < second) {
-                second = end;
-                runnerUp = p;
-            }
-        }
-        boolean jammed = SHIFT_THRESHOLD * least < bound;
+        readers.forEach(p -> p.behind = completion(p, r));
+        List<Peer> soonest = readers.stream().sorted(Comparator.<Peer>comparingDouble(p -> p.behind)
+                .thenComparing((a, b) -> nearer(r, a, b) ? -1 : 1)).limit(2).toList();
+        double bound = chosen.behind - readLines.get(chosen.kind).mean();
+        boolean jammed = SHIFT_THRESHOLD * soonest.get(0).behind < bound;
         by = jammed ? Kind.UNJAMMED : by;
-        estimate = jammed ? least : own;
-        next = jammed || soonest == chosen ? runnerUp : soonest;
-        nextEstimate = next == runnerUp ? second : least;
-        return jammed ? soonest : chosen;
+        Peer taken = jammed ? soonest.get(0) : chosen;
+        next = soonest.stream().filter(p -> p != taken).findFirst().orElse(null);
+        estimate = taken.behind;
+        nextEstimate = next == null ? Double.MAX_VALUE : next.behind;
+        return taken;
     }
 
     /** Reads out there, the lag that they don't explain (others' reads are ahead of them), and this one. */
@@ -747,10 +732,9 @@
                 }
             }
             case ERROR, TIMED_OUT, RESET, CONNECT_FAILED -> {
-                if (e.outcome() == Outcome.CONNECT_FAILED) {
-                    a.peer.bad = 1;
-                    tell(a.peer, News.UNREACHABLE, 0, settings.zone());
-                }
+                boolean unreached = e.outcome() == Outcome.CONNECT_FAILED;
+                a.peer.bad = unreached ? 1 : a.peer.bad;
+                tell(a.peer, unreached ? News.UNREACHABLE : News.FAILED, 0, settings.zone());
                 heard(a.peer, false, 1);
                 if (e.outcome() == Outcome.TIMED_OUT && a.sentAt > a.peer.provenAt) {
                     fit(a.read ? readLines.get(a.peer.kind) : firstTokens, a.read ? a.missed : r.prompt(),
@@ -772,8 +756,9 @@
             p.heard++;
             p.slow += (p.aside ? 2 : 1) * TIME_WEIGHT * (ratio - p.slow);
         }
-        long first = Math.min(TRIAL_WAIT_MAX, TRIAL_WAIT * settings.routers());
-        boolean slow = p.heard >= SLOW_SAMPLES && p.slow > SLOW * medianSlowness(p);
+        long most = longestTrialWait();
+        long first = Math.min(most, TRIAL_WAIT * settings.routers());
+        boolean slow = p.heard >= SLOW_SAMPLES && p.slow > SLOW * Math.max(0.5, median(p, q -> q.slow));
         if (!p.aside && (p.bad > FAILING || slow)) {
             p.aside = true;
             p.good = 0;
@@ -781,15 +766,22 @@
             p.trialAt = now + p.trialWait;
         } else if (p.aside) {
             p.good = good && !slow ? p.good + 1 : 0;
-            p.trialWait = p.good > 0 ? first : Math.min(TRIAL_WAIT_MAX, 2 * p.trialWait);
+            p.trialWait = p.good > 0 ? first : Math.min(most, 2 * p.trialWait);
             p.trialAt = p.good > 0 ? now : now + p.trialWait;
             if (p.good >= TRIALS) {
                 p.aside = false;
                 p.bad = 0;
+                tell(p, News.WELL, 0, settings.zone());
             }
         }
     }
 
+    /** All routers together try it about once a second: whoever is told when it is well again can wait. */
+    private long longestTrialWait() {
+        long fleet = 4 * TRIAL_WAIT * settings.routers();
+        return settings.limits().tells() ? Math.max(TRIAL_WAIT_MAX, fleet) : TRIAL_WAIT_MAX;
+    }
+
     /**
      * Where requests are dense, lines turn over soon enough to show jams. Where they are sparse, they learn
      * what servers need, clipped, and jams fade as lags in seconds, not with the next fifty requests.
@@ -804,10 +796,10 @@
         return gap < DENSE_GAP;
     }
 
-    private double medianSlowness(Peer of) {
+    private double median(Peer of, ToDoubleFunction<Peer> what) {
         List<Peer> like = serving.get(settings.kinds().get(of.kind).role());
-        double[] all = like.stream().mapToDouble(p -> p.slow).sorted().toArray();
-        return all.length == 0 ? 1 : Math.max(0.5, all[(all.length - 1) / 2]);
+        double[] all = like.stream().mapToDouble(what).sorted().toArray();
+        return all.length == 0 ? 1 : all[(all.length - 1) / 2];
     }
 
     /** An answer shows how far others held it up; one whose state came from another cell tells of a link. */
@@ -857,13 +849,22 @@
         int payers = State.PAYERS * settings.classes().size();
         News.read(body).forEach((tag, item) -> {
             Peer p = byTag.get(tag);
-            boolean here = p != null && item.value() == settings.zone() && !p.aside;
+            // Others' failures count while fresh, and beyond what all servers have: a common fault bars none.
+            boolean ill = p != null && !p.aside && (item.kind() == News.UNREACHABLE
+                    ? item.value() == settings.zone() : item.kind() == News.FAILED
+                    && p.ill.again(now, LAG_FADE) > FAILURES_TOLD + SLOW * median(p, q -> faded(q.ill)));
             if (p != null && item.kind() == News.LAG) {
                 p.lag.lag = item.value() * 1000.0;
                 p.lag.at = now;
-            } else if (here && item.kind() == News.UNREACHABLE) {
+            } else if (ill) {
                 p.bad = 1;
                 heard(p, false, 1);
+                p.trialWait = longestTrialWait();
+                p.trialAt = now + random.nextLong(p.trialWait); // not all at once
+            } else if (p != null && p.aside && item.kind() == News.WELL && item.value() == settings.zone()) {
+                p.aside = false;
+                p.bad = Math.min(p.bad, FAILING);
+                p.ill.lag = 0;
             } else if (p != null && item.kind() == News.FULL && item.payer() < payers) {
                 p.fullUntil.put(item.payer(), now + item.value() * 1000);
             }
--- a/decide/src/main/java/sorrelhoist/News.java
+++ b/decide/src/main/java/sorrelhoist/News.java
@@ -11,10 +11,15 @@
     static final char LAG = 'l';
     /** Value: the zone from which the server refused a connection. */
     static final char UNREACHABLE = 'x';
+    /** It was set aside and is well again; value: the zone from which. */
+    static final char WELL = 'w';
+    /** A request failed there; value: the zone from which. */
+    static final char FAILED = 'e';
     /** Value: milliseconds for which to pass it over; the payer is the class and tenant turned away. */
     static final char FULL = 'f';
 
-    private static final Pattern ITEM = Pattern.compile("([0-9a-z]{1,6}):([lxf])([0-9]{1,6})\\.([0-9]{1,6})");
+    private static final Pattern ITEM = Pattern.compile(
+            "([0-9a-z]{1,6}):([lxfew])([0-9]{1,6})\\.([0-9]{1,6})");
 
     /** One piece of news about a server. */
     record Item(char kind, int payer, long value) {
--- a/decide/src/main/java/sorrelhoist/State.java
+++ b/decide/src/main/java/sorrelhoist/State.java
@@ -44,6 +44,7 @@
         long trialWait;
         final Map<Integer, Long> fullUntil = new TreeMap<>();
         final Felt lag = new Felt();
+        final Felt ill = new Felt();
         double behind;
         long probedAt;
         long provenAt = Long.MIN_VALUE;
@@ -83,6 +84,13 @@
     static final class Felt {
         double lag;
         long at;
+
+        /** One more of what is counted here; {@return how many have not faded} */
+        double again(long now, double fade) {
+            lag = 1 + lag * Math.exp((at - now) / fade);
+            at = now;
+            return lag;
+        }
     }
 
     /** A key of the prefix table. */
--- a/decide/src/test/java/sorrelhoist/FleetTest.java
+++ b/decide/src/test/java/sorrelhoist/FleetTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -54,6 +55,10 @@
                 : Long.compare(a.order, b.order));
         final Map<Long, Integer> attempts = new TreeMap<>();
         final List<Decide> routers;
+        /** Sends to these fail at once. */
+        Set<String> failing = Set.of();
+        long failingUntil = Long.MAX_VALUE;
+        int failures;
         /** Reads sent there from this time on are never answered. */
         String silent = "";
         boolean told = true;
@@ -97,6 +102,10 @@
                 if (s.server().equals(silent) && now >= silentFrom) {
                     later(s.cutAt(), router, new AttemptEnded(s.id(), n, s.server(), Outcome.TIMED_OUT,
                             s.cutAt() - now, false, 0, Load.NONE));
+                } else if (failing.contains(s.server()) && now < failingUntil) {
+                    failures++;
+                    later(now + 2000, router, new AttemptEnded(s.id(), n, s.server(), Outcome.ERROR, 2000, false, 0,
+                            Load.NONE));
                 } else if (s.server().startsWith("r")) {
                     later(now + 60_000, router, new AttemptEnded(s.id(), n, s.server(), Outcome.READ, 60_000,
                             false, 0, Load.NONE));
@@ -176,6 +185,54 @@
         assertTrue(told < 0.6 * alone, told + " reads sent to a silent reader, " + alone + " where none tells");
     }
 
+    /** {@return how many attempts failed in 20 s at these, at 75 requests a second by 100 routers} */
+    private static int failures(boolean told, Set<String> failing) {
+        World world = new World(100, fleet(10, 10));
+        world.told = told;
+        world.failing = failing;
+        Random random = new Random(5);
+        for (int id = 0; id < 75 * 20; id++) {
+            world.later(SECOND + (long) (random.nextDouble() * 20 * SECOND), random.nextInt(100),
+                    request(id, "s" + random.nextInt(900), "p" + random.nextInt(60), 1000, 600));
+        }
+        world.play(22 * SECOND);
+        return world.failures;
+    }
+
+    /** A failure costs a request that may not be repeated; each router alone would need two at each such server. */
+    @Test
+    void aServerThatFailsFastIsSetAsideByWhatOthersTell() {
+        int alone = failures(false, Set.of("w13"));
+        int told = failures(true, Set.of("w13"));
+        assertTrue(told < 0.5 * alone, told + " failures, " + alone + " where none tells");
+    }
+
+    /** Whoever finds it well tells: the others, who wait much longer for their own trial, send there again. */
+    @Test
+    void aServerThatIsWellAgainSoonHasItsShare() {
+        World world = new World(100, fleet(10, 10));
+        world.failing = Set.of("w13");
+        world.failingUntil = 12 * SECOND;
+        Random random = new Random(6);
+        for (int id = 0; id < 75 * 30; id++) {
+            world.later(SECOND + (long) (random.nextDouble() * 30 * SECOND), random.nextInt(100),
+                    request(id, "s" + random.nextInt(900), "p" + random.nextInt(60), 1000, 600));
+        }
+        world.play(31 * SECOND);
+        long sick = world.sends.get("w13").stream().filter(t -> t > 6 * SECOND && t < 12 * SECOND).count();
+        long well = world.sends.get("w13").stream().filter(t -> t > 21 * SECOND && t < 31 * SECOND).count();
+        assertTrue(sick <= 20, sick + " sent in six seconds to a server that fails, of about 45");
+        assertTrue(well >= 35, well + " sent in ten seconds once it was well, of about 75");
+    }
+
+    /** Half of the writers fail: the others must not be set aside for what is told of them by mistake or chance. */
+    @Test
+    void whatIsToldOfManyServersLeavesTheSoundOnesInUse() {
+        int alone = failures(false, Set.of("w10", "w12", "w14", "w16", "w18"));
+        int told = failures(true, Set.of("w10", "w12", "w14", "w16", "w18"));
+        assertTrue(told <= alone, told + " failures, " + alone + " where none tells");
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {2, 150})
     void routersThatKnowNothingSendAColdFleetLittle(int n) {
