--- a/decide/src/main/java/sorrelhoist/Decide.java
+++ b/decide/src/main/java/sorrelhoist/Decide.java
@@ -174,7 +174,7 @@
             act(new Follow(true));
         } else {
             Request r = requests.get(token);
-            if (r != null && !r.answered && now >= r.deadline) {
+            if (r != null && !r.answered && !r.streaming && now >= r.deadline) {
                 giveUp(r, Reason.compared(Kind.DEADLINE, now - r.arrivedAt, r.deadline - r.arrivedAt));
             } else if (r != null && r.waits()) {
                 step(r);
@@ -635,7 +635,7 @@
 
     private void clientGone(long id) {
         if (requests.containsKey(id)) {
-            conclude(requests.get(id), false, Reason.of(Kind.CLIENT_GONE));
+            conclude(requests.get(id), Reason.of(Kind.CLIENT_GONE));
         }
     }
 
@@ -644,16 +644,16 @@
         long hint = Math.min(settings.limits().maxBackoffMicros(), BACKOFF + random.nextLong(BACKOFF));
         act(mayRefuse(r) ? new Refuse(r.id, settings.limits().backoffHints() ? hint : 0, why)
                 : new Fail(r.id, why));
-        conclude(r, true, why);
+        conclude(r, why);
     }
 
-    /** Nothing more is owed to the client: what is still out for it ends, a stream only if told to. */
-    private void conclude(Request r, boolean streams, Reason why) {
+    /** Nothing more is owed to the client: what is still out for it ends, but not a stream. */
+    private void conclude(Request r, Reason why) {
         r.answered = true;
         settle(r);
         if (r.attempt == null) {
             finish(r);
-        } else if (settings.limits().cancel() && (streams || !r.streaming)) {
+        } else if (settings.limits().cancel() && !r.streaming) {
             act(new Cancel(r.id, r.attempt.number, why));
         }
     }
--- a/decide/src/test/java/sorrelhoist/DecideTest.java
+++ b/decide/src/test/java/sorrelhoist/DecideTest.java
@@ -140,6 +140,14 @@
         assertTrue(last.server().startsWith("w"));
     }
 
+    /** The deadline is for the first token; a stream that has begun is neither refused nor cut by it. */
+    @Test
+    void theDeadlineStopsWithTheFirstToken() {
+        Send w = read(arrive(1, "a", null, 1000, 0), 0);
+        decide.on(now, new StreamStarted(1, 1, w.server(), 20_000));
+        assertEquals(List.of(), decide.on(now + 5 * SECOND, new TimerFired(1)));
+    }
+
     @Test
     void aBlackHoleLeavesTimeForAnotherAttempt() {
         Send s = arrive(1, "a", null, 1000, 0);
