Draw which routers may send to a cold server, at twice the mean and not at all its arrivals

Seen in virtual time: of 100 routers at 75 requests a second over 25 readers and 25 writers, none sent anything to three of four servers that had restarted, in all of the 12 s in which they were cold (FleetTest.aColdServerGetsItsPart..., the guard as it was: r3 was sent 0).

Two causes, both in the cold guard. What chance adds to a count was taken off by each router, while it evens out over all: at ten served, 6.3 off instead of 0.6. And a part under one was granted in turns as if the router in turn sent all it had there; it sends its ordinary share, a tenth of a request in a window. The draw is now by a hash of server, window and router, with so many drawn that at twice the mean (SHIFT_THRESHOLD, to which placement lets loads lie apart) their sends add up to the parts; one each in a window, and the former floor where nothing is known.

--- a/decide/src/main/java/sorrelhoist/Decide.java
+++ b/decide/src/main/java/sorrelhoist/Decide.java
@@ -192,7 +192,8 @@
             long window = settings.rules().fallMicros();
             double served = all.stream().mapToLong(p -> p.servedSince(now - SERVED_WINDOWS * window)).sum();
             double passed = Math.min(SERVED_WINDOWS, (now - startedAt) / (double) window);
-            double sure = (served - 2 * Math.sqrt(served)) / Math.max(1, passed) / Math.max(1, all.size());
+            double chance = 2 * Math.sqrt(served / settings.routers()); // evens out over the routers
+            double sure = (served - chance) / Math.max(1, passed) / Math.max(1, all.size());
             mostServed[role.ordinal()] = Math.max(mostServed[role.ordinal()], sure);
         }
         var old = keys.entrySet().iterator();
@@ -876,15 +877,12 @@
     /** What own evidence has taught, the most recently used keys up to a number. */
     public Knowledge known(long time, int mostKeys) {
         List<Knowledge.Key> some = new ArrayList<>();
-        int skip = keys.size() - mostKeys;
-        for (Key k : keys.values()) {
-            if (skip-- <= 0) {
-                List<Knowledge.Holding> holders = new ArrayList<>();
-                k.holders.forEach((id, h) -> holders.add(new Knowledge.Holding(id,
-                        peers.containsKey(id) ? peers.get(id).since : 0, h.tokens)));
-                some.add(new Knowledge.Key(k.name, Math.max(0, time - k.used), k.uses, holders));
-            }
-        }
+        keys.values().stream().skip(Math.max(0, keys.size() - mostKeys)).forEach(k -> {
+            List<Knowledge.Holding> holders = new ArrayList<>();
+            k.holders.forEach((id, h) -> holders.add(new Knowledge.Holding(id,
+                    peers.containsKey(id) ? peers.get(id).since : 0, h.tokens)));
+            some.add(new Knowledge.Key(k.name, Math.max(0, time - k.used), k.uses, holders));
+        });
         List<Knowledge.Health> health = new ArrayList<>();
         // What was only heard of is not told on: repeated in a circle it would look like evidence.
         peers.values().stream().filter(p -> !p.hearsay && (p.heard > 0 || p.bad > 0)).forEach(p ->
@@ -1063,21 +1061,23 @@
     /**
      * A cold server's capacity is not told. A warm one can do at least the most that this router has had
      * served by its role's servers in the mean, less what chance adds to a small count. All routers granting
-     * that part of theirs, the sum stays under the rule's multiple. A part under one is granted in turns of
-     * the routers' numbers, so few that those of two neighbouring windows together make up no more.
+     * that part of theirs, the sum stays under the rule's multiple. A part under one is drawn for: in each
+     * window so many routers may send one that, at twice the mean sends to a server of the role (placement
+     * lets loads lie no further apart), their sum is that of the parts. All draw the same without a word.
      */
     private boolean coldAllows(Peer p) {
         Rules rules = settings.rules();
-        if (p.since <= 0 || now - p.since >= rules.coldMicros()) {
-            return true;
-        }
-        double most = mostServed[settings.kinds().get(p.kind).role().ordinal()];
+        Role role = settings.kinds().get(p.kind).role();
+        double most = mostServed[role.ordinal()];
         double bearable = COLD_SAFETY * rules.fallMultiple() * rules.coldFrom() * most;
-        if (bearable >= 1) {
-            return p.sentSince(now - rules.fallMicros()) + 1 <= bearable;
+        boolean warm = p.since <= 0 || now - p.since >= rules.coldMicros();
+        if (warm || bearable >= 1) {
+            return warm || p.sentSince(now - rules.fallMicros()) + 1 <= bearable;
         }
-        long turns = (long) Math.ceil(2 / Math.max(bearable, 2.0 / COLD_TURNS / settings.routers()));
-        long turn = now / rules.fallMicros() + settings.self() + (p.id.hashCode() & 0xFFFF);
-        return turn % turns == 0 && p.sentSince(now - now % rules.fallMicros() - 1) == 0;
+        double mean = Math.max(most, rules.fallMicros() / gap / serving.get(role).size());
+        double share = Math.max(bearable / SHIFT_THRESHOLD / mean, 1 / COLD_TURNS / settings.routers());
+        long window = now / rules.fallMicros();
+        double draw = (Hash.of(p.id + window, "" + settings.self()) >>> 11) * 0x1p-53;
+        return draw < share && p.sentSince(window * rules.fallMicros() - 1) == 0;
     }
 }
--- a/decide/src/test/java/sorrelhoist/FleetTest.java
+++ b/decide/src/test/java/sorrelhoist/FleetTest.java
@@ -233,6 +233,34 @@
         assertTrue(told <= alone, told + " failures, " + alone + " where none tells");
     }
 
+    /** A restarted reader is worth a quarter of a warm one from the start: it must not stand idle until it is warm. */
+    @Test
+    void aColdServerGetsItsPartAlsoWhereEachRouterSeesItSeldom() {
+        List<Server> fleet = fleet(25, 25);
+        World world = new World(100, fleet);
+        Random random = new Random(8);
+        long start = 25 * SECOND;
+        for (int id = 0; id < 75 * 37; id++) {
+            world.later(SECOND + (long) (random.nextDouble() * 37 * SECOND), random.nextInt(100),
+                    request(id, "s" + random.nextInt(2000), "p" + random.nextInt(200), 1000, 600));
+        }
+        List<Server> cold = fleet.stream().filter(s -> Set.of("r3", "r7", "w27", "w31").contains(s.id()))
+                .map(s -> with(s, ServerState.SERVING, start)).toList();
+        for (int i = 0; i < 100; i++) {
+            world.later(start, i, new Members(ListForm.UPDATE, cold));
+        }
+        world.play(start + 12 * SECOND);
+        long all = 0;
+        for (Server s : cold) {
+            // 75 a second over 25 of a role: 36 in 12 s to a warm one.
+            long sent = world.mostWithin(s.id(), start, start + 12 * SECOND, 12 * SECOND);
+            long most = world.mostWithin(s.id(), start, start + 12 * SECOND, 3 * SECOND);
+            all += sent;
+            assertTrue(sent >= 1 && most <= 9 * 3 * 0.26, s.id() + " was sent " + sent + ", " + most + " in 3 s");
+        }
+        assertTrue(all >= 4 * 36 * 0.1, all + " sent to the four");
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {2, 150})
     void routersThatKnowNothingSendAColdFleetLittle(int n) {
