--- a/decide/src/main/java/sorrelhoist/Decide.java
+++ b/decide/src/main/java/sorrelhoist/Decide.java
@@ -31,7 +31,7 @@
     private static final double HOMES = 3; // homes of a prefix, for each reader that its share would fill
     private static final double NEAR_FULL = 0.9; // share of memory from which M counts
     private static final long KEY_AGE = 60_000_000; // an unused key is forgotten: evicted, or of the past
-    private static final int MAX_KEYS = 50_000; // bounds the table whatever clients send
+    private static final int MAX_KEYS = 20_000; // bounds the table whatever clients send: 1.2 KB each
     private static final double FIT_DECAY = 0.98; // of a past pair in a learnt line: about 50 count
     private static final double FIT_CLIP = 3; // a time teaches no more than this multiple of the expected
     private static final double DENSE_GAP = 200_000; // between arrivals, so that a line turns over within H
