--- a/app/src/test/java/sorrelhoist/app/DeployTest.java
+++ b/app/src/test/java/sorrelhoist/app/DeployTest.java
@@ -45,6 +45,17 @@
         assertTrue(run("").contains("-Xmx38m"));
     }
 
+    /** A start that computes for long without waiting is a crash on the platform; the limit is of processor time. */
+    @Test
+    void aListOfManyWorkersInOneLineCostsTheShellNextToNothing() throws Exception {
+        StringBuilder config = new StringBuilder("{\"known\":{\"rev\":1,\"targets\":[");
+        for (int i = 0; i < 400; i++) {
+            config.append(i == 0 ? "" : ",").append("{\"uid\":\"s-").append(i).append("\",\"endpoint\":\"127.11.0.")
+                    .append(i % 250).append(":7070\",\"az\":\"a\",\"model\":\"m\",\"pod_group\":3,\"state\":\"active\"}");
+        }
+        assertTrue(run(config + "]},\"limits\":{\"memory_mb\":100}}", "ulimit -t 3; ").contains("-Xmx30m"));
+    }
+
     @Test
     void theLastArgumentsAreTheProgramItself() throws Exception {
         List<String> said = run("{}");
@@ -52,11 +63,15 @@
     }
 
     private List<String> run(String config) throws IOException, InterruptedException {
+        return run(config, "");
+    }
+
+    private List<String> run(String config, String limit) throws IOException, InterruptedException {
         Path file = Files.writeString(folder.resolve("config.json"), config);
         String run = Files.readAllLines(ROOT.resolve("deploy/balancer.toml")).stream()
                 .filter(l -> l.startsWith("run = \"")).map(l -> l.replaceAll("run = \"([^\"]*)\".*", "$1"))
                 .findFirst().orElseThrow();
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).directory(ROOT.toFile())
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", limit + run).directory(ROOT.toFile())
                 .redirectErrorStream(true);
         builder.environment().clear();
         builder.environment().put("PATH", folder.resolve("bin").toString());
