Heed told failures and tell lags only where a router's own requests are sparse

News between routers is for where each sees a server seldom; the new items did not look at that. Told failures are heeded, and lags told, only where a router's own requests are 0.2 s apart or more, as lags that fade are.

--- a/decide/src/main/java/sorrelhoist/Decide.java
+++ b/decide/src/main/java/sorrelhoist/Decide.java
@@ -837,7 +837,7 @@
         news.put(Hash.tag(p.id), new News.Item(kind, payer, value));
         String body = News.write(news);
         double price = body.length() * (settings.routers() - 1.0);
-        if (settings.limits().tells() && price > 0 && price <= bytes) {
+        if (settings.limits().tells() && price > 0 && price <= bytes && (kind != News.LAG || !dense())) {
             bytes -= price;
             act(new Tell(-1, body));
             news.clear();
@@ -850,9 +850,9 @@
         int payers = State.PAYERS * settings.classes().size();
         News.read(body).forEach((tag, item) -> {
             Peer p = byTag.get(tag);
-            // Others' failures count while fresh, and beyond what all servers have: a common fault bars none.
+            // Others' failures count where own requests are sparse, while fresh and beyond what all have.
             boolean ill = p != null && !p.aside && (item.kind() == News.UNREACHABLE
-                    ? item.value() == settings.zone() : item.kind() == News.FAILED
+                    ? item.value() == settings.zone() : item.kind() == News.FAILED && !dense()
                     && p.ill.again(now, LAG_FADE) > FAILURES_TOLD + SLOW * median(p, q -> faded(q.ill)));
             if (p != null && item.kind() == News.LAG) {
                 p.lag.lag = item.value() * 1000.0;
