Answer every request by the end of its time, also after a fault in one event

Cause, found by going through the moments where two events cross: what failed while Decide's answers were carried out (Router.drain) took the remaining actions of that event with it, timers of other requests among them, and a request whose own timer was lost was never answered.

Change: the other actions are carried out and the first failure is thrown at the end; an alarm 150 ms after a client's time answers what is still owed then. Decide's own deadline comes first, so it acts after a fault alone.

Shown by RouterTest (two new tests, a tap and a carrier that throw), in virtual time.

--- a/core/src/main/java/sorrelhoist/core/life/Router.java
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -29,6 +29,8 @@
 public final class Router {
     private static final long REFUSED_AT_THE_TOP = 500_000; // hint where the router itself is full
     private static final int NAMES = 36;
+    /** After a client's time, by which every request that has no first token was answered unless something failed. */
+    private static final long OVERDUE = 150_000;
 
     /** What an alarm is for. */
     private sealed interface Alarm {
@@ -46,6 +48,9 @@
     private record Expiry(Life life) implements Alarm {
     }
 
+    private record Overdue(long client) implements Alarm {
+    }
+
     private record Blocked(Life life, long since) implements Alarm {
     }
 
@@ -104,6 +109,9 @@
                     lives.open() - 1, draining ? 0 : settings.maxOpen())));
             return life.client;
         }
+        if (life.endsBy < Long.MAX_VALUE) {
+            alarms.set(life.endsBy + OVERDUE, new Overdue(life.client));
+        }
         submit(life);
         drain();
         if (life.endsBy < Long.MAX_VALUE && settings.streams().endWithClientsTime()) {
@@ -446,6 +454,8 @@
             silent(s);
         } else if (alarm instanceof Expiry e) {
             expired(e.life());
+        } else if (alarm instanceof Overdue o) {
+            overdue(lives.ofClient(o.client()));
         } else if (alarm instanceof Blocked b && StreamWatch.stalled(b.life(), b.since())) {
             finish(b.life(), new Answer.Stalled("the client took nothing of its answer for "
                     + settings.stallMicros() / 1000 + " ms"));
@@ -480,6 +490,18 @@
         drain();
     }
 
+    /**
+     * Decide answers each request by the end of its client's time. Should one be left over all the same, because an
+     * event could not be taken, its client is still owed an answer.
+     */
+    private void overdue(Life life) {
+        if (life != null && life.phase != Phase.STREAMING && life.tokens == 0) {
+            log(life, "not answered by the end of its time");
+            finish(life, new Answer.Failed("no answer within the client's time", true, Reason.UNKNOWN));
+            abandon(life, Phase.Step.FAIL);
+        }
+    }
+
     // ---- Lives --------------------------------------------------------------------------------------------
 
     /** Hands the request, or what is left of a broken one, to Decide under a number of its own. */
@@ -582,16 +604,37 @@
 
     // ---- What Decide says ---------------------------------------------------------------------------------
 
-    /** Tells Decide all that has happened and carries out its answers, in order, until nothing is left. */
+    /**
+     * Tells Decide all that has happened and carries out its answers, in order, until nothing is left. What fails in the
+     * middle is thrown at the end: it concerns one request, and the others' actions are not to be lost with it.
+     */
     private void drain() {
+        RuntimeException failure = null;
         for (Event event = events.poll(); event != null; event = events.poll()) {
-            List<Action> actions = decide.on(now, event);
-            tap.told(now, event, actions);
-            for (Action action : actions) {
-                perform(action);
+            try {
+                List<Action> actions = decide.on(now, event);
+                tap.told(now, event, actions);
+                for (Action action : actions) {
+                    failure = performed(action, failure);
+                }
+            } catch (RuntimeException e) {
+                failure = failure == null ? e : failure;
             }
         }
         lives.sweep();
+        if (failure != null) {
+            throw failure;
+        }
+    }
+
+    /** {@return the first failure so far, or null} */
+    private RuntimeException performed(Action action, RuntimeException before) {
+        try {
+            perform(action);
+            return before;
+        } catch (RuntimeException e) {
+            return before == null ? e : before;
+        }
     }
 
     private void perform(Action action) {
--- a/core/src/test/java/sorrelhoist/core/life/RouterTest.java
+++ b/core/src/test/java/sorrelhoist/core/life/RouterTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import sorrelhoist.Routing.*;
+import sorrelhoist.core.record.Tap;
 
 /** One request at a time through each of its ways, with time in the test's hands. */
 class RouterTest {
@@ -292,4 +293,50 @@
         router.placeAnswered(5, 99, "w1", true, "p1");
         assertEquals("p1", last(Order.Release.class).place());
     }
+
+    @Test
+    void aRequestWhoseArrivalCouldNotBeTakenIsAnsweredByTheEndOfItsTime() {
+        Tap failing = new Tap() {
+            @Override
+            public void told(long at, Event event, List<Action> actions) {
+                if (event instanceof Arrived) {
+                    throw new IllegalStateException("a fault of the program's own");
+                }
+            }
+        };
+        Router faulty = new Router(Fleet.settings(true, true, 7), orders::add, failing);
+        faulty.members(0, ListForm.COMPLETE, Fleet.servers());
+        assertThrows(IllegalStateException.class, () -> faulty.arrived(0, Fleet.call(Fleet.SAFE, 10, Fleet.SECOND)));
+        assertEquals(1, faulty.open());
+        faulty.advance(Fleet.SECOND + Fleet.SECOND / 2);
+        assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
+        assertEquals(1, all(Order.Finish.class).size());
+        assertEquals(0, faulty.open());
+    }
+
+    @Test
+    void anOrderThatCannotBeCarriedOutTakesNoOtherWithIt() {
+        boolean[] failed = new boolean[1];
+        Router faulty = new Router(Fleet.settings(true, true, 7), order -> {
+            if (order instanceof Order.Drop && !failed[0]) {
+                failed[0] = true;
+                throw new IllegalStateException("a fault of the program's own");
+            }
+            orders.add(order);
+        });
+        faulty.members(0, ListForm.COMPLETE, Fleet.servers());
+        for (int i = 0; i < 3; i++) {
+            faulty.arrived(i, Fleet.call(Fleet.SAFE, 10, Fleet.SECOND));
+        }
+        for (long now = 0; now < 3 * Fleet.SECOND; now += 10_000) {
+            try {
+                faulty.advance(now);
+            } catch (IllegalStateException e) {
+                // Once, as above.
+            }
+        }
+        assertTrue(failed[0]);
+        assertEquals(3, all(Order.Finish.class).size());
+        assertEquals(0, faulty.open());
+    }
 }
