--- a/adapter/src/main/java/sorrelhoist/wire/FieldsReader.java
+++ b/adapter/src/main/java/sorrelhoist/wire/FieldsReader.java
@@ -61,6 +61,11 @@
         }
     }
 
+    /** {@return whether no object has begun whose end has not come} */
+    public boolean isBetween() {
+        return open.isEmpty();
+    }
+
     /**
      * Reads on.
      *
--- a/core/src/main/java/sorrelhoist/core/members/WatchPlan.java
+++ b/core/src/main/java/sorrelhoist/core/members/WatchPlan.java
@@ -15,7 +15,7 @@
     private static final long HEARTBEAT = 2_000_000;
     /** Without a sign of life after which a watch counts as silent: a heartbeat that comes late is none that is lost. */
     static final long SILENCE = HEARTBEAT + 600_000;
-    /** For an attempt to connect and to say its first byte. */
+    /** For an attempt to connect and to bring its first list, and between two parts of that list. */
     static final long ATTEMPT = 1_000_000;
     /** The longest pause before an attempt: what is left of the budget, but for the last attempt's own list. */
     static final long PAUSE = (TOLD - SILENCE - 2 * ATTEMPT - ATTEMPT / 2) / 3;
@@ -28,6 +28,7 @@
     private long heardAt;
     private long attempt;
     private long attemptAt;
+    private long progressAt;
     private long openAt = Long.MAX_VALUE;
 
     /**
@@ -58,12 +59,13 @@
         openAt = Long.MAX_VALUE;
         attempt = ++made;
         attemptAt = now;
+        progressAt = now;
         return attempt;
     }
 
     /** {@return the number of an attempt that hangs and is given up now, or 0} */
     public long giveUp(long now) {
-        if (attempt == 0 || now - attemptAt < ATTEMPT) {
+        if (attempt == 0 || now < givenUpAt()) {
             return 0;
         }
         long hanging = attempt;
@@ -72,11 +74,22 @@
         return hanging;
     }
 
-    /** A watch said something. {@return the number of a watch that is not needed any more, or 0} */
-    public long spoke(long now, long number) {
+    /**
+     * Bytes came on a watch. They keep a watch alive that is in use; an attempt replaces it with a whole message alone
+     * ({@link #spoke}), as one that stops in the middle of its first list has brought nothing yet.
+     */
+    public void heard(long now, long number) {
         if (number == held) {
             heardAt = now;
         }
+        if (number == attempt) {
+            progressAt = now;
+        }
+    }
+
+    /** A whole message or a heartbeat came. {@return the number of a watch that is not needed any more, or 0} */
+    public long spoke(long now, long number) {
+        heard(now, number);
         if (number != attempt) {
             return 0;
         }
@@ -107,8 +120,13 @@
         }
     }
 
+    /** An attempt may hang so long; one whose list still comes, part by part, has the whole budget. */
+    private long givenUpAt() {
+        return Math.min(progressAt + ATTEMPT, attemptAt + TOLD);
+    }
+
     /** {@return when {@link #open} or {@link #giveUp} is next needed} */
     public long next() {
-        return attempt != 0 ? attemptAt + ATTEMPT : openAt < Long.MAX_VALUE ? openAt : heardAt + SILENCE;
+        return attempt != 0 ? givenUpAt() : openAt < Long.MAX_VALUE ? openAt : heardAt + SILENCE;
     }
 }
--- a/core/src/test/java/sorrelhoist/core/members/WatchPlanTest.java
+++ b/core/src/test/java/sorrelhoist/core/members/WatchPlanTest.java
@@ -114,4 +114,55 @@
         plan.ended(1000, old);
         assertEquals(0, plan.open(1000), "the end of what was dropped changes nothing");
     }
+
+    @Test
+    void anAttemptThatStopsInTheMiddleOfItsFirstListIsGivenUpAndTheOldWatchKept() {
+        WatchPlan plan = new WatchPlan(1);
+        plan.anew(0);
+        long old = plan.open(0);
+        plan.spoke(0, old);
+        plan.anew(1000);
+        long half = plan.open(1000);
+        plan.heard(2000, half);
+        assertTrue(plan.wanted(old) && plan.wanted(half));
+        assertEquals(0, plan.giveUp(2000 + WatchPlan.ATTEMPT - 1));
+        assertEquals(half, plan.giveUp(2000 + WatchPlan.ATTEMPT));
+        assertTrue(plan.wanted(old));
+    }
+
+    @Test
+    void anAttemptWhoseListComesInPartsIsWaitedForButNotForever() {
+        WatchPlan plan = new WatchPlan(1);
+        plan.anew(0);
+        long slow = plan.open(0);
+        long now = 0;
+        for (; plan.giveUp(now) == 0; now += WatchPlan.ATTEMPT / 2) {
+            plan.heard(now, slow);
+            assertTrue(now < 2 * WatchPlan.TOLD);
+        }
+        assertEquals(WatchPlan.TOLD, now);
+    }
+
+    /**
+     * Every order of up to five fates of the attempts after a silence, with a change told at each moment between: it has
+     * arrived by the time at which it counts as told, or a watch in use was open that could have brought it.
+     */
+    @Test
+    void inEveryOrderOfFatesTheNextListComesSoonAfterDiscoveryCanBeReached() {
+        Fate[] all = Fate.values();
+        for (int fates = 0; fates < 243; fates++) {
+            Fate[] order = new Fate[6];
+            for (int i = 0, rest = fates; i < 5; i++, rest /= 3) {
+                order[i] = all[rest % 3];
+            }
+            order[5] = Fate.SPEAKS;
+            int before = 0;
+            while (order[before] != Fate.SPEAKS) {
+                before++;
+            }
+            long hung = java.util.Arrays.stream(order, 0, before).filter(f -> f == Fate.HANGS).count();
+            long bound = WatchPlan.SILENCE + hung * WatchPlan.ATTEMPT + before * WatchPlan.PAUSE + (before + 2) * STEP;
+            assertTrue(replaced(fates, order) <= bound, "order " + fates);
+        }
+    }
 }
