Check the window of a repeat when its bytes leave, not when it was decided

Need: Decide heeds the window of a keyed class as it decides; a connection may then take its whole time limit to come up, and the repeat leaves after the window, where it has its effect a second time. Found by reading Decide.mayRepeatAt beside WorkerConnection.channelActive.

Change: core's Router notes when the first attempt that may have had an effect was sent, and says with each writer's order by when its last byte has to leave. Reads have no effect and no limit.

--- a/core/src/main/java/sorrelhoist/core/life/Life.java
+++ b/core/src/main/java/sorrelhoist/core/life/Life.java
@@ -24,6 +24,8 @@
         }
     }
 
+    static final long NEVER = Long.MIN_VALUE;
+
     final long client;
     final Call call;
     final long arrivedAt;
@@ -35,6 +37,8 @@
     Phase phase = Phase.WAITING;
     boolean finished;
     int sends;
+    /** When the first attempt that may have had an effect was sent; {@link #NEVER} for none. */
+    long mayHaveRunFrom = NEVER;
     int resumptions;
     int tokens;
     /** Since when the client takes nothing; 0 while it does. */
--- a/core/src/main/java/sorrelhoist/core/life/Order.java
+++ b/core/src/main/java/sorrelhoist/core/life/Order.java
@@ -33,10 +33,11 @@
      * @param promptTokens its tokens
      * @param fromToken the first index that the client has not got
      * @param until when the client's time for the whole answer is up; Long.MAX_VALUE where it did not say
+     * @param sendBy when its last byte has to have left, or it must not be sent any more; Long.MAX_VALUE for no limit
      * @param why why this engine
      */
     record Write(AttemptId attempt, String name, String engine, Call call, Held state, String place, String prompt,
-            long promptTokens, int fromToken, long until, Reason why) implements Order {
+            long promptTokens, int fromToken, long until, long sendBy, Reason why) implements Order {
     }
 
     /**
--- a/core/src/main/java/sorrelhoist/core/life/Router.java
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -578,6 +578,10 @@
     }
 
     private void ended(Life life, Life.Attempt a, Outcome outcome, boolean over, long note, Load load) {
+        boolean neverRan = a.read || outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED;
+        if (!neverRan && life.mayHaveRunFrom == Life.NEVER) {
+            life.mayHaveRunFrom = a.sentAt;
+        }
         a.ended = true;
         life.out = null;
         outcomes++;
@@ -702,10 +706,17 @@
             String place = holds.placeAt(life, s.server());
             carrier.accept(new Order.Write(id, life.name, s.server(), life.call, life.state,
                     place, life.prompt(), life.promptTokens(), life.tokens,
-                    life.endsBy, s.why()));
+                    life.endsBy, sendBy(life), s.why()));
         }
     }
 
+    /** Decide heeds a class's window as it decides; until the bytes leave, a connection may have to come up. */
+    private long sendBy(Life life) {
+        RequestClass cls = settings.decide().classes().get(life.call.cls());
+        return life.mayHaveRunFrom == Life.NEVER || cls.repeat() != Repeat.KEYED ? Long.MAX_VALUE
+                : life.mayHaveRunFrom + cls.repeatWindowMicros();
+    }
+
     private void answer(long id, Phase.Step step, Answer answer) {
         Life life = lives.ofDecide(id);
         // Decide's timer of the deadline may still ring for a stream that has begun; like a Cancel then, it concerns
--- a/core/src/test/java/sorrelhoist/core/life/RouterTest.java
+++ b/core/src/test/java/sorrelhoist/core/life/RouterTest.java
@@ -339,4 +339,27 @@
         assertEquals(3, all(Order.Finish.class).size());
         assertEquals(0, faulty.open());
     }
+
+    @Test
+    void aRepeatThatMayHaveASecondEffectSaysByWhenItHasToLeave() {
+        Order.Write first = placed(0, Fleet.KEYED, 10, 0);
+        assertEquals(Long.MAX_VALUE, first.sendBy(), "the first attempt may go out at any time");
+        router.attemptLost(20_000, first.attempt(), Outcome.RESET, 0, Load.NONE);
+        router.readDone(30_000, last(Order.Read.class).attempt(), "s2", 0, Load.NONE);
+        Order.Write second = last(Order.Write.class);
+        assertNotEquals(first.attempt(), second.attempt());
+        // Sent at 10 ms, when the read had ended; the window of the class is two seconds.
+        assertEquals(10_000 + 2 * Fleet.SECOND, second.sendBy());
+    }
+
+    @Test
+    void aRepeatOfWhatNeverRanOrIsHarmlessMayLeaveAtAnyTime() {
+        Order.Write neverRan = placed(0, Fleet.KEYED, 10, 0);
+        router.attemptLost(20_000, neverRan.attempt(), Outcome.CONNECT_FAILED, 0, Load.NONE);
+        assertEquals(Long.MAX_VALUE, last(Order.Write.class).sendBy());
+        Order.Write safe = placed(100_000, Fleet.SAFE, 10, 0);
+        router.attemptLost(120_000, safe.attempt(), Outcome.TIMED_OUT, 0, Load.NONE);
+        router.readDone(130_000, last(Order.Read.class).attempt(), "s2", 0, Load.NONE);
+        assertEquals(Long.MAX_VALUE, last(Order.Write.class).sendBy());
+    }
 }
