--- a/app/src/test/java/sorrelhoist/app/DeployTest.java
+++ b/app/src/test/java/sorrelhoist/app/DeployTest.java
@@ -56,6 +56,19 @@
         assertTrue(run(config + "]},\"limits\":{\"memory_mb\":100}}", "ulimit -t 3; ").contains("-Xmx30m"));
     }
 
+    /** Where a hundred routers start at once, each of these calls costs the machine more than the work between them. */
+    @Test
+    void aListOfManyWorkersIsReadInFewSystemCalls() throws Exception {
+        Path java = folder.resolve("bin").resolve("java");
+        // The same process as the script's, by exec: its count of reads is still there.
+        Files.writeString(java, "#!/bin/sh\nwhile read -r name value; do\n"
+                + "if [ \"$name\" = syscr: ]; then echo \"reads=$value\"; break; fi\ndone < /proc/$$/io\n"
+                + "echo \"pid=$$\"\n");
+        String config = "{\"known\":\"" + "x".repeat(20_000) + "\",\"limits\":{\"memory_mb\":100}}";
+        String reads = run(config).stream().filter(line -> line.startsWith("reads=")).findAny().orElseThrow();
+        assertTrue(Integer.parseInt(reads.substring("reads=".length())) < 1000, reads);
+    }
+
     @Test
     void theLastArgumentsAreTheProgramItself() throws Exception {
         List<String> said = run("{}");
