Wait for the next timer rather than poll for its last half millisecond

Timers rang up to 3.1 s late, though the longest turn took 0.2 s and collections 32 ms in all.

Ruled out: turns (longest 19 ms while timers were 2 s late), collections, compiling (by thread: the event loop's own thread used 701 of 700 ms), tasks (0 to 8 a second). What it did was count: 118,843 rounds of the loop in 1.9 s, up to 49,023 on end within 0.45 ms of the router's clock.

Cause: NioIoHandler.select waits for (delay + 0.5 ms) / 1 ms whole milliseconds. With less than half a millisecond left that is 0, so it polls without waiting until the timer is due. On a part of a processor that takes the time of the work.

Change: the event loops' view of the next timer is rounded up (protocol, BlockingWaits). Timers ring up to 1 ms later.

--- /dev/null
+++ b/protocol/src/main/java/sorrelhoist/protocol/net/BlockingWaits.java
@@ -0,0 +1,117 @@
+package sorrelhoist.protocol.net;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+import io.netty.util.concurrent.ThreadAwareExecutor;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * An I/O handler that sleeps until the next timer is due instead of polling for the last part of a millisecond.
+ *
+ * <p>Netty's NIO handler waits in whole milliseconds, rounded to the nearest one. With less than half a millisecond left
+ * it polls without waiting, again and again, until the timer is due. On a machine with part of a processor that loop
+ * spends the time that the router needs for its work. Here the time that is left is rounded up before the handler sees
+ * it, so a timer rings up to one millisecond late and nothing polls.
+ */
+final class BlockingWaits implements IoHandler {
+    private static final long MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
+    private final IoHandler handler;
+
+    BlockingWaits(IoHandler handler) {
+        this.handler = handler;
+    }
+
+    /** {@return a factory whose handlers are those of the given factory, without polling} */
+    static IoHandlerFactory around(IoHandlerFactory factory) {
+        return new IoHandlerFactory() {
+            @Override
+            public IoHandler newHandler(ThreadAwareExecutor executor) {
+                return new BlockingWaits(factory.newHandler(executor));
+            }
+
+            @Override
+            public boolean isChangingThreadSupported() {
+                return factory.isChangingThreadSupported();
+            }
+        };
+    }
+
+    /**
+     * Rounds a delay up to whole milliseconds.
+     *
+     * @param nanos the delay; what is due already stays as it is
+     * @return the delay to wait for
+     */
+    static long roundedUp(long nanos) {
+        if (nanos <= 0 || nanos > Long.MAX_VALUE - MILLISECOND) {
+            return nanos;
+        }
+        return (nanos + MILLISECOND - 1) / MILLISECOND * MILLISECOND;
+    }
+
+    @Override
+    public int run(IoHandlerContext context) {
+        return handler.run(new RoundedContext(context));
+    }
+
+    @Override
+    public void initialize() {
+        handler.initialize();
+    }
+
+    @Override
+    public void prepareToDestroy() {
+        handler.prepareToDestroy();
+    }
+
+    @Override
+    public void destroy() {
+        handler.destroy();
+    }
+
+    @Override
+    public IoRegistration register(IoHandle handle) throws Exception {
+        return handler.register(handle);
+    }
+
+    @Override
+    public void wakeup() {
+        handler.wakeup();
+    }
+
+    @Override
+    public boolean isCompatible(Class<? extends IoHandle> handleType) {
+        return handler.isCompatible(handleType);
+    }
+
+    /** The event loop's view of its next timer, rounded up. */
+    private record RoundedContext(IoHandlerContext context) implements IoHandlerContext {
+        @Override
+        public boolean canBlock() {
+            return context.canBlock();
+        }
+
+        @Override
+        public long delayNanos(long currentTimeNanos) {
+            return roundedUp(context.delayNanos(currentTimeNanos));
+        }
+
+        @Override
+        public long deadlineNanos() {
+            return context.deadlineNanos();
+        }
+
+        @Override
+        public void reportActiveIoTime(long activeNanos) {
+            context.reportActiveIoTime(activeNanos);
+        }
+
+        @Override
+        public boolean shouldReportActiveIoTime() {
+            return context.shouldReportActiveIoTime();
+        }
+    }
+}
--- a/protocol/src/main/java/sorrelhoist/protocol/net/Net.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/net/Net.java
@@ -29,7 +29,7 @@
     /** {@return event loops of daemon threads} */
     public static EventLoopGroup loops(int threads, String name) {
         return new MultiThreadIoEventLoopGroup(threads, new DefaultThreadFactory(name, true),
-                NioIoHandler.newFactory());
+                BlockingWaits.around(NioIoHandler.newFactory()));
     }
 
     /**
--- /dev/null
+++ b/protocol/src/test/java/sorrelhoist/protocol/net/BlockingWaitsTest.java
@@ -0,0 +1,61 @@
+package sorrelhoist.protocol.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SelectStrategy;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.nio.channels.spi.SelectorProvider;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+class BlockingWaitsTest {
+    private static final int TIMERS = 200;
+    private static final long DELAY_MICROS = 1_300; // 0.3 ms beyond a whole millisecond: rounding to the nearest is too early
+    private static final long MOST_POLLS = 4; // a timer: one wait, and those that its task and the next timer take
+
+    @Test
+    void aDelayIsRoundedUpToTheNextMillisecond() {
+        assertEquals(1_000_000, BlockingWaits.roundedUp(1));
+        assertEquals(1_000_000, BlockingWaits.roundedUp(499_999));
+        assertEquals(1_000_000, BlockingWaits.roundedUp(1_000_000));
+        assertEquals(2_000_000, BlockingWaits.roundedUp(1_000_001));
+        assertEquals(0, BlockingWaits.roundedUp(0));
+        assertEquals(-5, BlockingWaits.roundedUp(-5));
+        assertEquals(Long.MAX_VALUE, BlockingWaits.roundedUp(Long.MAX_VALUE));
+    }
+
+    @Test
+    void anEventLoopDoesNotPollWhileItsNextTimerIsNearlyDue() throws Exception {
+        AtomicLong polls = new AtomicLong();
+        IoHandlerFactory counting = NioIoHandler.newFactory(SelectorProvider.provider(), () -> (supplier, hasTasks) -> {
+            polls.incrementAndGet();
+            return hasTasks ? supplier.get() : SelectStrategy.SELECT;
+        });
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("polls", true),
+                BlockingWaits.around(counting));
+        try {
+            EventLoop loop = group.next();
+            CountDownLatch rung = new CountDownLatch(TIMERS);
+            loop.execute(() -> ring(loop, rung));
+            assertTrue(rung.await(1, TimeUnit.MINUTES));
+            assertTrue(polls.get() <= MOST_POLLS * TIMERS, polls + " polls for " + TIMERS + " timers");
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        }
+    }
+
+    private static void ring(EventLoop loop, CountDownLatch rung) {
+        rung.countDown();
+        if (rung.getCount() > 0) {
+            loop.schedule(() -> ring(loop, rung), DELAY_MICROS, TimeUnit.MICROSECONDS);
+        }
+    }
+}
