Keep all that requests reserve in one table that only proof clears

Tests with scripted workers showed four more ways, all on the code as it was: * a read lost while the release of an earlier one was unanswered was never released (platform Holds.release, "before == null"); so was one of a request that came again under its id; * a release put off for a worker that then was full was forgotten (TakenReleases.settled, Holds.taken and ended); * the time of a state did not run while its writer's connection came up (Router.drop said TIMED_OUT of attempts whose last byte was never written).

Root cause: two places kept the books, core Holds and the platform's Holds with TakenReleases, and each cleared an entry on what the other had not proven. Ruled out: releases that take long (0.16 s at most in the traces) and workers that answer a release with an error, with noise, in pieces, twice or never (tests, all held before).

Change: ReservationTable (core, no I/O) opens a hold for each outcome that can leave something. It is cleared by a stream that began, or by an answered release that was sent when nothing could be added any more. While no written attempt can take it, a release is due half the limit after the last outcome, at once where the request is over, and a second time half the limit after a read that was cut, as a release may overtake the close. Engines are asked one after the other each eighth of the limit. What expires is counted and logged. A cut attempt that was never written is told as CONNECT_FAILED.

--- a/core/src/main/java/sorrelhoist/core/life/Life.java
+++ b/core/src/main/java/sorrelhoist/core/life/Life.java
@@ -1,5 +1,7 @@
 package sorrelhoist.core.life;
 
+import sorrelhoist.core.reservation.ReservationKey;
+
 /** One request's life: its phase, its attempts, what is held for it, and what its client has got. */
 final class Life {
     /** One send, until its one outcome. */
@@ -12,6 +14,8 @@
         final long cutAt;
         boolean ended;
         boolean started;
+        /** Whether its last byte was written; carriers that cannot tell say nothing, and it counts as written. */
+        boolean written = true;
         long heardAt;
 
         Attempt(AttemptId id, String engine, int kind, boolean read, long sentAt, long cutAt) {
@@ -44,7 +48,9 @@
     /** Since when the client takes nothing; 0 while it does. */
     long blockedSince;
     Attempt out;
+    /** What the next writer is to fetch; null where nothing is. */
     Held state;
+    ReservationKey stateKey;
     String placeEngine;
     String place = "";
 
--- a/core/src/main/java/sorrelhoist/core/life/Order.java
+++ b/core/src/main/java/sorrelhoist/core/life/Order.java
@@ -60,16 +60,35 @@
     }
 
     /**
-     * Let an engine drop what it holds for a request.
+     * Let an engine release what it holds for a request. Answered by {@link Router#releaseEnded}.
      *
-     * @param name the request's name at engines
+     * @param id names the call
+     * @param name the request's name at engines; a place's name where its request is not known
      * @param engine which
      * @param state the state's name; empty for what its reads left that were given up on
      * @param place the place's name; may be empty
      * @param upTo where neither is named: the last attempt whose state is meant, so that a later read at the same
      *     engine keeps its own
      */
-    record Release(String name, String engine, String state, String place, int upTo) implements Order {
+    record Release(long id, String name, String engine, String state, String place, int upTo) implements Order {
+    }
+
+    /**
+     * Stop waiting for the answer to a release; nothing of it is reported any more.
+     *
+     * @param id which
+     */
+    record AbandonRelease(long id) implements Order {
+    }
+
+    /**
+     * What a request had reserved was not released in time: no engine answered. It is not tried any longer.
+     *
+     * @param name the request's name at engines
+     * @param engine the engine that was asked last
+     * @param calls how many releases were sent
+     */
+    record ReleaseExpired(String name, String engine, int calls) implements Order {
     }
 
     /**
--- a/core/src/main/java/sorrelhoist/core/life/Router.java
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -13,6 +13,7 @@
 import sorrelhoist.Routing.*;
 import sorrelhoist.core.record.Entry;
 import sorrelhoist.core.record.Tap;
+import sorrelhoist.core.reservation.Hold;
 import sorrelhoist.core.time.Alarms;
 import sorrelhoist.core.why.Words;
 
@@ -59,7 +60,7 @@
     private final Consumer<Order> carrier;
     private final Tap tap;
     private final StreamWatch watch;
-    private final Holds holds;
+    private final Reservations reservations;
     private final Lives lives = new Lives();
     private final Map<String, Integer> kinds = new HashMap<>();
     private final Alarms<Alarm> alarms = new Alarms<>();
@@ -92,7 +93,7 @@
         this.carrier = carrier;
         this.decide = new Decide(settings.decide(), settings.seed());
         this.watch = new StreamWatch(settings);
-        this.holds = new Holds(carrier);
+        this.reservations = new Reservations(settings, carrier);
     }
 
     // ---- What the carrier tells ---------------------------------------------------------------------------
@@ -165,7 +166,7 @@
         if (a == null || !a.read) {
             return;
         }
-        holds.read(life, a, state);
+        reservations.readDone(life, a, state, now);
         life.step(Phase.Step.READ_DONE);
         ended(life, a, Outcome.READ, life.finished, kept, load);
         drain();
@@ -288,7 +289,7 @@
 
     private void whole(Life life, Life.Attempt a, long kept, Load load) {
         life.step(Phase.Step.LAST_TOKEN);
-        holds.gone(life);
+        reservations.taken(life, now);
         ended(life, a, Outcome.DONE, true, kept, load);
         finish(life, new Answer.Served(life.tokens));
     }
@@ -296,21 +297,71 @@
     /** A place was held, or not. */
     public void placeAnswered(long time, long request, String engine, boolean held, String place) {
         at(time);
-        Life life = lives.ofDecide(request);
-        if (life == null || life.finished || life.out == null || !life.out.read) {
-            // Too late to be used: it must not stay pinned.
+        Life life = placeable(request);
+        if (life == null) {
             if (held) {
-                holds.unwanted(engine, place);
+                reservations.unwantedPlace(engine, place, now);
             }
             return;
         }
         if (held) {
-            holds.place(life, engine, place);
+            reservations.place(life, engine, place, Hold.Certainty.HELD, now);
         }
         events.add(new PlaceAnswered(request, engine, held));
         drain();
     }
 
+    /** It is not known whether a place was held; it may be. */
+    public void placeUnknown(long time, long request, String engine, String place) {
+        at(time);
+        Life life = placeable(request);
+        if (life == null) {
+            reservations.unwantedPlace(engine, place, now);
+        } else {
+            reservations.place(life, engine, place, Hold.Certainty.POSSIBLE, now);
+        }
+    }
+
+    /** {@return the request whose read is out, as long as a place is of use to it; else null} */
+    private Life placeable(long request) {
+        Life life = lives.ofDecide(request);
+        return life == null || life.finished || life.out == null || !life.out.read ? null : life;
+    }
+
+    /** An attempt's connection has to come up before its request can be written. To be told while it is ordered. */
+    public void attemptConnecting(long time, AttemptId id) {
+        at(time);
+        Life life = lives.ofDecide(id.request());
+        Life.Attempt a = Lives.out(life, id);
+        if (a != null) {
+            a.written = false;
+            reservations.connecting(life);
+        }
+    }
+
+    /** The last byte of an attempt was written to a connection that stands. */
+    public void attemptWritten(long time, AttemptId id) {
+        at(time);
+        Life life = lives.ofDecide(id.request());
+        Life.Attempt a = Lives.out(life, id);
+        if (a != null) {
+            a.written = true;
+            reservations.written(life);
+        }
+    }
+
+    /** A release ended. {@code done} where the engine answered that nothing is held any more. */
+    public void releaseEnded(long time, long release, boolean done) {
+        at(time);
+        reservations.releaseEnded(release, done, now);
+    }
+
+    /** Bytes came from an engine, whatever they belong to. */
+    public void heard(long time, String engine) {
+        at(time);
+        reservations.heard(engine, now);
+    }
+
     /** A probe ended. */
     public void probeAnswered(long time, String engine, Outcome outcome, long took, Load load) {
         tell(time, new ProbeAnswered(engine, outcome, took, load));
@@ -338,6 +389,7 @@
                 kinds.put(s.id(), s.kind());
             }
         }
+        reservations.members(form, servers);
         tell(time, new Members(form, servers));
     }
 
@@ -389,6 +441,8 @@
     /** Lets time pass. */
     public void advance(long time) {
         at(time);
+        // First of all: what is held has the shortest time.
+        reservations.advance(now);
         for (Alarm due = alarms.due(now); due != null; due = alarms.due(now)) {
             ring(due);
             drain();
@@ -397,7 +451,7 @@
 
     /** {@return when {@link #advance} is next needed; Long.MAX_VALUE for never} */
     public long nextAlarm() {
-        return alarms.next();
+        return Math.min(alarms.next(), reservations.next());
     }
 
     /** {@return engines on the list held} */
@@ -425,9 +479,19 @@
         return sends - outcomes;
     }
 
-    /** {@return states and places that are held for requests} */
+    /** {@return what is held for requests that may still take it} */
     public int held() {
-        return (int) lives.known().stream().filter(Holds::any).count();
+        return reservations.held();
+    }
+
+    /** {@return what is held, or may be, whether or not its release is under way} */
+    public int reserved() {
+        return reservations.size();
+    }
+
+    /** {@return reservations that no engine has released in time, since the start} */
+    public long releasesExpired() {
+        return reservations.expired();
     }
 
     // ---- Time ---------------------------------------------------------------------------------------------
@@ -524,7 +588,7 @@
     private void begin(Life life, Life.Attempt a) {
         a.started = true;
         life.step(Phase.Step.FIRST_TOKEN);
-        holds.taken(life);
+        reservations.taken(life, now);
         events.add(new StreamStarted(life.decideId, a.id.number(), a.engine, now - a.sentAt));
         a.heardAt = now;
         alarms.set(StreamWatch.lookAt(watch.deadAt(life, a), now), new Silence(life, a));
@@ -533,7 +597,9 @@
     /** Stops waiting for an attempt; its outcome is known here and now. */
     private void drop(Life life, Life.Attempt a, Outcome outcome) {
         carrier.accept(new Order.Drop(a.id));
-        lost(life, a, outcome, 0, Load.NONE);
+        // Nothing can have run where the request was never written: its time was used up by connecting.
+        boolean unreached = !a.written && outcome == Outcome.TIMED_OUT;
+        lost(life, a, unreached ? Outcome.CONNECT_FAILED : outcome, 0, Load.NONE);
     }
 
     private void lost(Life life, Life.Attempt a, Outcome outcome, long note, Load load) {
@@ -543,9 +609,8 @@
         }
         if (a.read) {
             life.step(Phase.Step.READ_LOST);
-            holds.leftBehind(life, a, outcome);
         } else if (outcome == Outcome.FULL && note == 1 || life.state == null) {
-            holds.gone(life);
+            reservations.notFetched(life, now);
             life.step(Phase.Step.STATE_LOST);
         } else {
             life.step(Phase.Step.WRITE_LOST);
@@ -578,7 +643,8 @@
     }
 
     private void ended(Life life, Life.Attempt a, Outcome outcome, boolean over, long note, Load load) {
-        boolean neverRan = a.read || outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED;
+        boolean neverRan = a.read || !a.written || outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED;
+        reservations.ended(life, a, outcome, now);
         if (!neverRan && life.mayHaveRunFrom == Life.NEVER) {
             life.mayHaveRunFrom = a.sentAt;
         }
@@ -654,7 +720,7 @@
         } else if (action instanceof Cancel a) {
             cancel(a);
         } else if (action instanceof Release a) {
-            holds.release(lives.ofDecide(a.id()));
+            reservations.release(lives.ofDecide(a.id()), now);
         } else if (action instanceof Reserve a) {
             Life life = lives.ofDecide(a.id());
             if (life != null && !life.finished) {
@@ -698,12 +764,12 @@
         if (cut < Long.MAX_VALUE) {
             alarms.set(cut, new Cut(life, a));
         }
+        String place = read ? "" : reservations.placeAt(life, s.server(), now);
+        reservations.sending(life, a, now);
         if (read) {
-            holds.readAnew(life);
             carrier.accept(new Order.Read(id, life.name, s.server(), life.call, life.prompt(),
                     life.promptTokens(), cut, s.why()));
         } else {
-            String place = holds.placeAt(life, s.server());
             carrier.accept(new Order.Write(id, life.name, s.server(), life.call, life.state,
                     place, life.prompt(), life.promptTokens(), life.tokens,
                     life.endsBy, sendBy(life), s.why()));
--- a/core/src/main/java/sorrelhoist/core/life/RouterSettings.java
+++ b/core/src/main/java/sorrelhoist/core/life/RouterSettings.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import sorrelhoist.Routing.Settings;
+import sorrelhoist.core.reservation.ReleasePolicy;
+import sorrelhoist.core.reservation.ReleaseReach;
 
 /**
  * What a router is told at its start beyond {@link Settings}.
@@ -17,14 +19,20 @@
  * @param maxOpen requests that may be open at once; more are refused at once
  * @param seed of all randomness
  * @param streams what is settled of answers that have begun
+ * @param releases which engines can release what a request has reserved
  */
 public record RouterSettings(String name, long incarnation, Settings decide, List<Long> deadlines,
         List<Long> deadlinesPer1000, long marginMicros, boolean resumes, long stallMicros, int maxOpen, long seed,
-        Streams streams) {
-    /** Settings with {@link Streams#OF_TOKENS}. */
+        Streams streams, ReleaseReach releases) {
+    /** Settings with {@link Streams#OF_TOKENS}, and reservations that their holders release. */
     public RouterSettings(String name, long incarnation, Settings decide, List<Long> deadlines,
             List<Long> deadlinesPer1000, long marginMicros, boolean resumes, long stallMicros, int maxOpen, long seed) {
         this(name, incarnation, decide, deadlines, deadlinesPer1000, marginMicros, resumes, stallMicros, maxOpen, seed,
-                Streams.OF_TOKENS);
+                Streams.OF_TOKENS, ReleaseReach.HOLDER);
+    }
+
+    /** {@return when releases are sent} */
+    ReleasePolicy releasePolicy() {
+        return new ReleasePolicy(releases, decide.rules().releaseMicros());
     }
 }
--- /dev/null
+++ b/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
@@ -0,0 +1,204 @@
+package sorrelhoist.core.reservation;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import sorrelhoist.core.reservation.Hold.Certainty;
+
+/** The holds of one key, the attempt that may take them, and the calls that release them. */
+final class Reservation {
+    private static final int CALLS_AT_ONCE = 4; // that follow each other on failures without a pause
+
+    /**
+     * A hold that is not known to be gone.
+     *
+     * @param hold what is held
+     * @param provableFrom from when on a call that is made proves that it is gone
+     * @param needed whether an attempt of the request will take it
+     */
+    private record OpenHold(Hold hold, long provableFrom, boolean needed) {
+    }
+
+    /** The attempt that is out. */
+    private static final class Attempt {
+        final AttemptPurpose purpose;
+        boolean written;
+
+        Attempt(AttemptPurpose purpose) {
+            this.purpose = purpose;
+        }
+    }
+
+    final ReservationKey key;
+    private final ReleasePolicy policy;
+    private final List<OpenHold> holds = new ArrayList<>();
+    /** Calls that were made and not answered, with the time of each. */
+    private final Map<Long, Long> calls = new HashMap<>();
+    private final Set<String> asked = new HashSet<>();
+    private Attempt attempt;
+    private boolean unwanted;
+    private long idleSince;
+    private long callableFrom;
+    private long expiresAt = Long.MAX_VALUE;
+    private int callsMade;
+    private String lastAsked = "";
+
+    Reservation(ReservationKey key, ReleasePolicy policy, long now) {
+        this.key = key;
+        this.policy = policy;
+        this.idleSince = now;
+    }
+
+    // ---- What happens to its request ----------------------------------------------------------------------
+
+    void opened(Hold hold, long now) {
+        boolean possible = hold.certainty() == Certainty.POSSIBLE;
+        holds.add(new OpenHold(hold, possible ? now + policy.settleMicros() : now, !possible));
+        callableFrom = Math.min(callableFrom, now);
+    }
+
+    void attemptSent(AttemptPurpose purpose) {
+        unwanted = false;
+        attempt = new Attempt(purpose);
+    }
+
+    void attemptWritten() {
+        if (attempt != null) {
+            attempt.written = true;
+        }
+    }
+
+    /** A connection to the attempt's engine has to come up first. */
+    void attemptConnecting() {
+        if (attempt != null) {
+            attempt.written = false;
+        }
+    }
+
+    /** No attempt will take the states that are held; places may still be used. */
+    void statesUnneeded() {
+        holds.replaceAll(open -> new OpenHold(open.hold(), open.provableFrom(),
+                open.needed() && !open.hold().place().isEmpty()));
+    }
+
+    /** The attempt ended; where it never reached its engine, the time of what is held has run on. */
+    void attemptEnded(boolean reached, long now) {
+        attempt = null;
+        idleSince = reached ? now : idleSince;
+    }
+
+    /** Nothing will take what is held any more. */
+    void unwanted() {
+        unwanted = true;
+    }
+
+    boolean isUnwanted() {
+        return unwanted;
+    }
+
+    /** A stream began: its engine has taken all that was held, but for what a lost read may yet leave. */
+    void taken(long now) {
+        holds.removeIf(open -> open.provableFrom() <= now);
+        attempt = null;
+        unwanted = true;
+        callableFrom = holds.stream().mapToLong(OpenHold::provableFrom).min().orElse(now);
+    }
+
+    boolean holdsNothing() {
+        return holds.isEmpty();
+    }
+
+    // ---- Releases -----------------------------------------------------------------------------------------
+
+    /** {@return when the next call is due; Long.MAX_VALUE for never as things are} */
+    long due() {
+        long releasableFrom = holds.isEmpty() ? Long.MAX_VALUE : releasableFrom();
+        return releasableFrom == Long.MAX_VALUE ? Long.MAX_VALUE
+                : Math.min(expiresAt, Math.max(callableFrom, releasableFrom));
+    }
+
+    private long releasableFrom() {
+        if (unwanted && attempt == null) {
+            return Long.MIN_VALUE;
+        }
+        boolean mayTake = attempt != null && attempt.written && (attempt.purpose == AttemptPurpose.FETCH
+                || holds.stream().allMatch(OpenHold::needed));
+        return mayTake ? Long.MAX_VALUE : idleSince + policy.idleMicros();
+    }
+
+    boolean isExpired(long now) {
+        return now >= expiresAt;
+    }
+
+    /** {@return the hold whose engine is asked first} */
+    Hold latest() {
+        return holds.get(holds.size() - 1).hold();
+    }
+
+    Set<String> asked() {
+        return asked;
+    }
+
+    /** A call was made. */
+    void called(long call, String engine, long now) {
+        calls.put(call, now);
+        asked.add(engine);
+        lastAsked = engine;
+        callsMade++;
+        waitForAnswer(now);
+    }
+
+    /** No engine can be asked now. */
+    void waitForAnswer(long now) {
+        callableFrom = now + policy.retryMicros();
+        expiresAt = expiresAt == Long.MAX_VALUE ? now + policy.expiryMicros() : expiresAt;
+    }
+
+    /** A call ended without a release: another engine is asked, the first few at once. */
+    void callFailed(long call, boolean others, long now) {
+        if (calls.remove(call) != null && others && callsMade < CALLS_AT_ONCE) {
+            callableFrom = now;
+        }
+    }
+
+    /** A call released all that could be proven when it was made. {@return whether the call was waited for} */
+    boolean callDone(long call) {
+        Long madeAt = calls.remove(call);
+        if (madeAt == null) {
+            return false;
+        }
+        holds.removeIf(open -> open.provableFrom() <= madeAt);
+        callableFrom = holds.stream().mapToLong(OpenHold::provableFrom).min().orElse(0);
+        resetCalls();
+        return true;
+    }
+
+    /** {@return the calls that are not waited for any more} */
+    List<Long> abandonCalls() {
+        List<Long> abandoned = List.copyOf(calls.keySet());
+        calls.clear();
+        resetCalls();
+        return abandoned;
+    }
+
+    private void resetCalls() {
+        asked.clear();
+        expiresAt = Long.MAX_VALUE;
+        callsMade = 0;
+    }
+
+    void forgetAsked() {
+        asked.clear();
+    }
+
+    int callsMade() {
+        return callsMade;
+    }
+
+    String lastAsked() {
+        return lastAsked.isEmpty() && !holds.isEmpty() ? latest().engine() : lastAsked;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
@@ -0,0 +1,247 @@
+package sorrelhoist.core.reservation;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What requests have reserved at engines, until it is known to be gone: the one place where that is kept.
+ *
+ * <p>A hold is opened by each outcome that can leave something, also by reads that were lost or given up on. It ends by
+ * proof alone: a stream began, which has taken it; or an engine has answered a release that was sent when nothing could
+ * be added to it any more. While an attempt that takes it is with its engine, nothing is sent. In every other case a
+ * release is under way after half the limit at the latest, counted from the request's last outcome; at once where the
+ * request is over. Time runs on while an attempt's connection does not come up.
+ *
+ * <p>One thread at a time.
+ */
+public final class ReservationTable {
+    private final ReleasePolicy policy;
+    private final ReleaseTargets targets;
+    private final ReservationCarrier carrier;
+    private final int most;
+    private final Map<ReservationKey, Reservation> reservations = new LinkedHashMap<>();
+    private final Map<Long, Reservation> calls = new HashMap<>();
+    private long lastCall;
+    private long expired;
+
+    /**
+     * Makes an empty table.
+     *
+     * @param policy when releases are sent
+     * @param targets chooses engines
+     * @param carrier makes the calls
+     * @param most keys at once; beyond, the oldest that nothing wants any more is given up on
+     */
+    public ReservationTable(ReleasePolicy policy, ReleaseTargets targets, ReservationCarrier carrier, int most) {
+        this.policy = policy;
+        this.targets = targets;
+        this.carrier = carrier;
+        this.most = most;
+    }
+
+    // ---- What happens to requests -------------------------------------------------------------------------
+
+    /** Something is held, or may be. */
+    public void opened(ReservationKey key, Hold hold, long now) {
+        if (reservations.size() >= most && !reservations.containsKey(key)) {
+            makeRoom();
+        }
+        reservations.computeIfAbsent(key, k -> new Reservation(k, policy, now)).opened(hold, now);
+    }
+
+    /** A read ended well. Calls for what an earlier one may have left would take its state away. */
+    public void readDone(ReservationKey key, Hold state, long now) {
+        Reservation reservation = reservations.get(key);
+        if (reservation != null) {
+            abandonCalls(reservation);
+        }
+        opened(key, state, now);
+    }
+
+    /** An attempt goes out. */
+    public void attemptSent(ReservationKey key, AttemptPurpose purpose) {
+        Reservation reservation = reservations.get(key);
+        if (reservation != null) {
+            if (purpose == AttemptPurpose.FETCH) {
+                abandonCalls(reservation);
+            }
+            reservation.attemptSent(purpose);
+        }
+    }
+
+    /** The attempt that is out waits for a connection. */
+    public void attemptConnecting(ReservationKey key) {
+        Reservation reservation = reservations.get(key);
+        if (reservation != null) {
+            reservation.attemptConnecting();
+        }
+    }
+
+    /** No attempt will take the states that are held: the prompt is read anew, or they could not be fetched. */
+    public void statesUnneeded(ReservationKey key) {
+        Reservation reservation = reservations.get(key);
+        if (reservation != null) {
+            reservation.statesUnneeded();
+        }
+    }
+
+    /** The last byte of the attempt that is out was written to a connection that stands. */
+    public void attemptWritten(ReservationKey key) {
+        Reservation reservation = reservations.get(key);
+        if (reservation != null) {
+            reservation.attemptWritten();
+        }
+    }
+
+    /**
+     * The attempt that was out ended.
+     *
+     * @param key whose
+     * @param reached whether it can have reached its engine
+     * @param now the time
+     */
+    public void attemptEnded(ReservationKey key, boolean reached, long now) {
+        Reservation reservation = reservations.get(key);
+        if (reservation != null) {
+            reservation.attemptEnded(reached, now);
+            forgetIfEmpty(reservation);
+        }
+    }
+
+    /** A stream began: its engine has taken what was held. */
+    public void taken(ReservationKey key, long now) {
+        Reservation reservation = reservations.get(key);
+        if (reservation != null) {
+            abandonCalls(reservation);
+            reservation.taken(now);
+            forgetIfEmpty(reservation);
+        }
+    }
+
+    /** Nothing will take what is held: it is released at once, unless an attempt is out. */
+    public void unwanted(ReservationKey key, long now) {
+        Reservation reservation = reservations.get(key);
+        if (reservation != null) {
+            reservation.unwanted();
+            forgetIfEmpty(reservation);
+            advance(reservation, now);
+        }
+    }
+
+    // ---- Calls --------------------------------------------------------------------------------------------
+
+    /**
+     * A call ended.
+     *
+     * @param call which; ones that are not waited for are passed over
+     * @param done whether the engine said that it is released
+     * @param now the time
+     */
+    public void releaseEnded(long call, boolean done, long now) {
+        Reservation reservation = calls.remove(call);
+        if (reservation == null) {
+            return;
+        }
+        if (!done) {
+            reservation.callFailed(call, policy.reach() == ReleaseReach.ANY_ENGINE, now);
+        } else if (reservation.callDone(call)) {
+            abandonCalls(reservation);
+            forgetIfEmpty(reservation);
+        }
+        advance(reservation, now);
+    }
+
+    /** Makes the calls that are due. */
+    public void advance(long now) {
+        if (next() <= now) {
+            List.copyOf(reservations.values()).forEach(reservation -> advance(reservation, now));
+        }
+    }
+
+    /** {@return when {@link #advance(long)} is next needed; Long.MAX_VALUE for never} */
+    public long next() {
+        long next = Long.MAX_VALUE;
+        for (Reservation reservation : reservations.values()) {
+            next = Math.min(next, reservation.due());
+        }
+        return next;
+    }
+
+    private void advance(Reservation reservation, long now) {
+        if (reservation.due() > now || reservations.get(reservation.key) != reservation) {
+            return;
+        }
+        if (reservation.isExpired(now)) {
+            expire(reservation);
+            return;
+        }
+        String engine = targets.next(reservation.latest(), reservation.asked());
+        if (engine == null && policy.reach() == ReleaseReach.HOLDER) {
+            // Its engine left the list, and what it held went with it.
+            abandonCalls(reservation);
+            reservations.remove(reservation.key);
+            return;
+        }
+        if (engine == null) {
+            // All were asked, or there are none: from the beginning, a little later.
+            reservation.forgetAsked();
+            reservation.waitForAnswer(now);
+            return;
+        }
+        long call = ++lastCall;
+        calls.put(call, reservation);
+        reservation.called(call, engine, now);
+        carrier.release(new ReleaseCall(call, reservation.key.request(), engine, reservation.latest()));
+    }
+
+    private void abandonCalls(Reservation reservation) {
+        for (long call : reservation.abandonCalls()) {
+            calls.remove(call);
+            carrier.abandon(call);
+        }
+    }
+
+    private void makeRoom() {
+        reservations.values().stream().filter(Reservation::isUnwanted).findFirst().ifPresent(this::expire);
+    }
+
+    private void expire(Reservation reservation) {
+        int made = reservation.callsMade();
+        String engine = reservation.lastAsked();
+        abandonCalls(reservation);
+        reservations.remove(reservation.key);
+        expired++;
+        carrier.expired(reservation.key, engine, made);
+    }
+
+    private void forgetIfEmpty(Reservation reservation) {
+        if (reservation.holdsNothing()) {
+            abandonCalls(reservation);
+            reservations.remove(reservation.key);
+        }
+    }
+
+    // ---- For tests and logs -------------------------------------------------------------------------------
+
+    /** {@return keys for which something is held or may be} */
+    public int size() {
+        return reservations.size();
+    }
+
+    /** {@return those among them that an attempt may still take} */
+    public int wanted() {
+        return (int) reservations.values().stream().filter(reservation -> !reservation.isUnwanted()).count();
+    }
+
+    /** {@return calls that are under way} */
+    public int calling() {
+        return calls.size();
+    }
+
+    /** {@return reservations that were given up on since the start} */
+    public long expired() {
+        return expired;
+    }
+}
--- a/core/src/test/java/sorrelhoist/core/life/OpaqueStreamsTest.java
+++ b/core/src/test/java/sorrelhoist/core/life/OpaqueStreamsTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import sorrelhoist.Routing.*;
+import sorrelhoist.core.reservation.ReleaseReach;
 
 /** A router whose answers are events of its engines, and whose clients come again for the rest by themselves. */
 class OpaqueStreamsTest {
@@ -17,7 +18,7 @@
     private final List<Order> orders = new ArrayList<>();
     private final Router router = new Router(new RouterSettings("edge", 1, Fleet.decide(true),
             List.of(Long.MAX_VALUE / 4, 0L, 0L), List.of(0L, 0L, 0L), 0, false, Fleet.STALL, 100, 7,
-            new Streams(true, false, SILENCE, true)), orders::add);
+            new Streams(true, false, SILENCE, true), ReleaseReach.ANY_ENGINE), orders::add);
 
     private <T extends Order> T last(Class<T> type) {
         return orders.stream().filter(type::isInstance).map(type::cast).reduce((a, b) -> b).orElseThrow();
--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/life/ReservationOrdersTest.java
@@ -0,0 +1,52 @@
+package sorrelhoist.core.life;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** All orders of two and three events around one request: nothing stays reserved beyond the limit in any of them. */
+class ReservationOrdersTest {
+    private static int runs;
+
+    @Test
+    void inEveryOrderOfTwoAndThreeEventsEverythingReservedIsTakenOrReleasedInTime() {
+        List<String> broken = new ArrayList<>();
+        runs = 0;
+        for (ReservationWorld.Tail tail : ReservationWorld.Tail.values()) {
+            for (boolean writersRead : new boolean[] {false, true}) {
+                orders(List.of(), 3, events -> play(events, tail, writersRead, broken));
+            }
+        }
+        System.out.println(runs + " orders of two and three events were played");
+        assertTrue(runs > 20_000, runs + " orders");
+        assertEquals(List.of(), broken.stream().limit(20).toList(), broken.size() + " broken");
+    }
+
+    private interface Play {
+        void play(List<ReservationWorld.Happening> events);
+    }
+
+    private static void orders(List<ReservationWorld.Happening> before, int most, Play play) {
+        if (before.size() >= 2) {
+            play.play(before);
+        }
+        if (before.size() < most) {
+            for (ReservationWorld.Happening next : ReservationWorld.Happening.values()) {
+                List<ReservationWorld.Happening> events = new ArrayList<>(before);
+                events.add(next);
+                orders(events, most, play);
+            }
+        }
+    }
+
+    private static void play(List<ReservationWorld.Happening> events, ReservationWorld.Tail tail, boolean writersRead,
+            List<String> broken) {
+        runs++;
+        for (String fault : new ReservationWorld(tail, writersRead).play(events)) {
+            broken.add(events + " then " + tail + (writersRead ? ", writers read" : "") + ": " + fault);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/reservation/ReservationTableTest.java
@@ -0,0 +1,280 @@
+package sorrelhoist.core.reservation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Reservations of single requests, with time in the test's hands. */
+class ReservationTableTest {
+    private static final long LIMIT = 500_000;
+    private static final int MOST = 8;
+    private static final ReleasePolicy POLICY = new ReleasePolicy(ReleaseReach.ANY_ENGINE, LIMIT);
+    private static final ReservationKey KEY = ReservationKey.ofRequest("a");
+
+    private final List<ReleaseCall> calls = new ArrayList<>();
+    private final List<Long> callTimes = new ArrayList<>();
+    private final List<Long> abandoned = new ArrayList<>();
+    private final List<String> expired = new ArrayList<>();
+    private final EngineActivity engines = new EngineActivity(2 * POLICY.retryMicros());
+    private long now;
+    private final ReservationTable table = new ReservationTable(POLICY, engines, new ReservationCarrier() {
+        @Override
+        public void release(ReleaseCall call) {
+            calls.add(call);
+            callTimes.add(now);
+        }
+
+        @Override
+        public void abandon(long call) {
+            abandoned.add(call);
+        }
+
+        @Override
+        public void expired(ReservationKey key, String engine, int made) {
+            expired.add(key.request() + " at " + engine + " after " + made);
+        }
+    }, MOST);
+
+    ReservationTableTest() {
+        engines.replaced(List.of("r0", "r1", "w0", "w1"));
+    }
+
+    private void passTo(long time) {
+        while (table.next() <= time) {
+            now = Math.max(now, table.next());
+            table.advance(now);
+        }
+        now = time;
+    }
+
+    private ReleaseCall lastCall() {
+        return calls.get(calls.size() - 1);
+    }
+
+    private void answerLast(boolean done) {
+        table.releaseEnded(lastCall().id(), done, now);
+    }
+
+    @Test
+    void aStateThatNothingWantsIsReleasedAtOnceByOneCall() {
+        table.readDone(KEY, Hold.ofState("r0", ""), now);
+        assertEquals(0, calls.size());
+        table.unwanted(KEY, now);
+        assertEquals("r0", lastCall().engine());
+        answerLast(true);
+        passTo(10 * LIMIT);
+        assertEquals(1, calls.size());
+        assertEquals(0, table.size());
+    }
+
+    @Test
+    void whatALostReadMayLeaveIsReleasedOnceMoreWhenNothingOfItCanArrive() {
+        table.opened(KEY, Hold.ofLostRead("r0", 0), now);
+        table.unwanted(KEY, now);
+        answerLast(true);
+        assertEquals(1, table.size(), "the first call may have overtaken the close");
+        passTo(POLICY.settleMicros() - 1);
+        assertEquals(1, calls.size());
+        passTo(POLICY.settleMicros());
+        assertEquals(2, calls.size());
+        answerLast(true);
+        assertEquals(0, table.size());
+    }
+
+    @Test
+    void aReleaseUnderWayDoesNotCoverWhatIsOpenedAfterIt() {
+        table.readDone(KEY, Hold.ofState("r0", ""), now);
+        table.unwanted(KEY, now);
+        ReleaseCall first = lastCall();
+        table.attemptSent(KEY, AttemptPurpose.READ);
+        table.attemptWritten(KEY);
+        now = 10_000;
+        table.attemptEnded(KEY, true, now);
+        table.opened(KEY, Hold.ofLostRead("r1", 1), now);
+        table.unwanted(KEY, now);
+        table.releaseEnded(first.id(), true, now);
+        assertEquals(1, table.size());
+        passTo(now + POLICY.settleMicros());
+        answerLast(true);
+        assertEquals(0, table.size());
+    }
+
+    @Test
+    void aStateWaitsForItsWriterWhileTheWriterHasTheRequest() {
+        table.readDone(KEY, Hold.ofState("r0", ""), now);
+        table.attemptSent(KEY, AttemptPurpose.FETCH);
+        table.attemptWritten(KEY);
+        passTo(10 * LIMIT);
+        assertEquals(0, calls.size());
+        table.taken(KEY, now);
+        assertEquals(0, table.size());
+    }
+
+    @Test
+    void timeRunsOnWhileAWritersConnectionDoesNotComeUp() {
+        table.readDone(KEY, Hold.ofState("r0", ""), now);
+        for (int i = 0; i < 2; i++) {
+            table.attemptSent(KEY, AttemptPurpose.FETCH);
+            table.attemptConnecting(KEY);
+            passTo(now + POLICY.idleMicros() / 2 - 1);
+            assertEquals(0, calls.size());
+            table.attemptEnded(KEY, false, now);
+        }
+        passTo(POLICY.idleMicros());
+        assertEquals(1, calls.size());
+    }
+
+    @Test
+    void anAnswerOfTheWriterBeginsTheTimeAnew() {
+        table.readDone(KEY, Hold.ofState("r0", ""), now);
+        table.attemptSent(KEY, AttemptPurpose.FETCH);
+        table.attemptWritten(KEY);
+        passTo(3 * LIMIT);
+        table.attemptEnded(KEY, true, now);
+        passTo(now + POLICY.idleMicros() - 1);
+        assertEquals(0, calls.size());
+        passTo(now + 1);
+        assertEquals(1, calls.size());
+    }
+
+    @Test
+    void whatALostReadLeftIsReleasedBesideAnotherReadButNotOnceThatOneHasEnded() {
+        table.opened(KEY, Hold.ofLostRead("r0", 0), now);
+        table.attemptSent(KEY, AttemptPurpose.READ);
+        table.attemptWritten(KEY);
+        passTo(POLICY.idleMicros());
+        assertEquals(1, calls.size(), "the second read may never have arrived");
+        table.attemptEnded(KEY, true, now);
+        table.readDone(KEY, Hold.ofState("r1", ""), now);
+        assertEquals(List.of(lastCall().id()), abandoned, "it would take the second state away");
+        table.attemptSent(KEY, AttemptPurpose.FETCH);
+        table.attemptWritten(KEY);
+        passTo(10 * LIMIT);
+        assertEquals(1, calls.size());
+    }
+
+    @Test
+    void aStreamTakesAllButWhatMayStillArrive() {
+        table.opened(KEY, Hold.ofLostRead("r0", 0), now);
+        now = 50_000;
+        table.readDone(KEY, Hold.ofState("r1", ""), now);
+        table.attemptSent(KEY, AttemptPurpose.FETCH);
+        table.attemptWritten(KEY);
+        table.taken(KEY, now);
+        assertEquals(1, table.size());
+        passTo(POLICY.settleMicros());
+        assertEquals(1, calls.size());
+        answerLast(true);
+        assertEquals(0, table.size());
+    }
+
+    /** The holder is dead, another engine is silent: the third one asked still has it before the limit. */
+    @Test
+    void aReleaseArrivesWithTimeToSpareThoughTwoEnginesDoNotAnswer() {
+        table.readDone(KEY, Hold.ofState("r0", ""), now);
+        passTo(LIMIT);
+        assertEquals(POLICY.idleMicros(), callTimes.get(0), "half the limit was waited for a writer");
+        assertTrue(callTimes.get(2) <= LIMIT - POLICY.reserveMicros(), callTimes.toString());
+        assertEquals(3, calls.stream().limit(3).map(ReleaseCall::engine).distinct().count());
+    }
+
+    @Test
+    void enginesThatRefuseAreFollowedByOthersAtOnceButNotWithoutEnd() {
+        table.readDone(KEY, Hold.ofState("r0", ""), now);
+        table.unwanted(KEY, now);
+        for (int i = 0; i < 4; i++) {
+            assertEquals(i + 1, calls.size());
+            answerLast(false);
+        }
+        assertEquals(4, calls.size());
+        passTo(2 * POLICY.retryMicros());
+        assertTrue(calls.size() > 4, "from the beginning, a little later");
+    }
+
+    @Test
+    void aHolderThatIsSilentWhileOthersSpeakIsNotAskedFirst() {
+        engines.heard("w0", 10 * LIMIT);
+        now = 10 * LIMIT;
+        table.readDone(KEY, Hold.ofState("r0", ""), now);
+        table.unwanted(KEY, now);
+        assertEquals("w0", lastCall().engine());
+    }
+
+    @Test
+    void manyReleasesAreSpreadOverTheEnginesHeardLast() {
+        engines.removed("r0");
+        for (int i = 0; i < 4; i++) {
+            ReservationKey key = ReservationKey.ofRequest("k" + i);
+            table.readDone(key, Hold.ofState("r0", ""), now);
+            table.unwanted(key, now);
+        }
+        assertTrue(calls.stream().map(ReleaseCall::engine).distinct().count() >= 3, calls.toString());
+    }
+
+    @Test
+    void whatNoEngineReleasesIsReportedOnceAndForgotten() {
+        table.readDone(KEY, Hold.ofState("r0", ""), now);
+        table.unwanted(KEY, now);
+        passTo(POLICY.expiryMicros() - 1);
+        assertEquals(0, table.expired());
+        passTo(POLICY.expiryMicros());
+        assertEquals(1, table.expired());
+        assertEquals(1, expired.size());
+        assertTrue(expired.get(0).startsWith("a at "), expired.get(0));
+        assertEquals(0, table.size());
+        assertEquals(0, table.calling());
+        assertEquals(Long.MAX_VALUE, table.next());
+    }
+
+    @Test
+    void anAnswerThatComesAfterItsCallWasAbandonedChangesNothing() {
+        table.readDone(KEY, Hold.ofState("r0", ""), now);
+        table.unwanted(KEY, now);
+        ReleaseCall first = lastCall();
+        passTo(POLICY.retryMicros());
+        answerLast(true);
+        assertEquals(List.of(first.id()), abandoned);
+        table.releaseEnded(first.id(), true, now);
+        table.releaseEnded(99, true, now);
+        assertEquals(0, table.size());
+    }
+
+    @Test
+    void theTableIsBoundedAndTheOldestThatNothingWantsMakesRoom() {
+        for (int i = 0; i < 2 * MOST; i++) {
+            ReservationKey key = ReservationKey.ofRequest("k" + i);
+            table.readDone(key, Hold.ofState("r0", ""), now);
+            table.unwanted(key, now);
+        }
+        assertEquals(MOST, table.size());
+        assertEquals(MOST, table.expired());
+        assertEquals(MOST, table.calling());
+    }
+
+    @Test
+    void aRequestWithTheSameNameKeepsWhatTheEarlierOneLeft() {
+        table.opened(KEY, Hold.ofLostRead("r0", 0), now);
+        table.unwanted(KEY, now);
+        table.attemptSent(KEY, AttemptPurpose.READ);
+        table.attemptWritten(KEY);
+        answerLast(true);
+        assertEquals(1, table.size());
+        passTo(POLICY.idleMicros());
+        assertEquals(2, calls.size(), "what the earlier request left is still released");
+    }
+
+    @Test
+    void aPlaceIsKeptWhileItsRequestIsReadAndReleasedWithIt() {
+        table.opened(KEY, Hold.ofPlace("w0", "p", Hold.Certainty.HELD), now);
+        table.attemptSent(KEY, AttemptPurpose.READ);
+        table.attemptWritten(KEY);
+        passTo(5 * LIMIT);
+        assertEquals(0, calls.size());
+        table.attemptEnded(KEY, true, now);
+        table.unwanted(KEY, now);
+        assertEquals(1, calls.size());
+    }
+}
--- a/edge/src/main/java/sorrelhoist/edge/Engines.java
+++ b/edge/src/main/java/sorrelhoist/edge/Engines.java
@@ -47,6 +47,7 @@
     private final Tracing tracing;
     private final Map<String, GrpcChannel> channels = new HashMap<>();
     private final Map<AttemptId, Flight> flights = new HashMap<>();
+    private final Map<Long, Flight> releases = new HashMap<>();
 
     Engines(String edge, RouterLoop loop, EventLoopGroup network, EngineTable table, GrpcChannel.Options options,
             Tracing tracing) {
@@ -74,7 +75,13 @@
             reserve(o);
         } else if (order instanceof Order.Release o) {
             ReleaseRequest r = new ReleaseRequest(o.name(), o.state(), o.place(), o.upTo());
-            fire(o.engine(), EngineApi.RELEASE, r.bytes());
+            release(o.id(), o.engine(), r);
+        } else if (order instanceof Order.AbandonRelease o) {
+            abandon(o.id());
+        } else if (order instanceof Order.ReleaseExpired o) {
+            LOG.atWarn().addKeyValue("event", "release_expired").addKeyValue("request", o.name())
+                    .addKeyValue("engine", o.engine()).addKeyValue("calls", o.calls())
+                    .log("what is held for a request was not released in time");
         } else if (order instanceof Order.CloseIdle o) {
             GrpcChannel channel = channel(o.engine());
             if (channel != null) {
@@ -128,12 +135,31 @@
         channel.loop().execute(() -> channel.start(call));
     }
 
-    private void fire(String engine, String path, byte[] request) {
+    private void release(long id, String engine, ReleaseRequest request) {
         GrpcChannel channel = channel(engine);
-        if (channel != null) {
-            ClientCall call = channel.call(path, until(loop.now() + options.dialMicros() * 4), new Unheard());
-            call.sendLast(request);
-            channel.loop().execute(() -> channel.start(call));
+        if (channel == null) {
+            loop.post(r -> r.releaseEnded(loop.now(), id, false));
+            return;
+        }
+        ClientCall call = channel.call(EngineApi.RELEASE, until(loop.now() + options.dialMicros() * 4), new Unheard() {
+            @Override
+            public void closed(ClientCall c, Status status, Headers trailers, ClientCall.End end) {
+                boolean done = end == ClientCall.End.STATUS && status.isOk();
+                loop.post(r -> {
+                    releases.remove(id);
+                    r.releaseEnded(loop.now(), id, done);
+                });
+            }
+        });
+        call.sendLast(request.bytes());
+        releases.put(id, new Flight(channel, call, null));
+        channel.loop().execute(() -> channel.start(call));
+    }
+
+    private void abandon(long release) {
+        Flight flight = releases.remove(release);
+        if (flight != null) {
+            flight.channel().loop().execute(flight.call()::cancel);
         }
     }
 
