--- a/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * What requests have reserved at engines, until it is known to be gone: the one place where that is kept.
@@ -53,46 +54,33 @@
 
     /** A read ended well. Calls for what an earlier one may have left would take its state away. */
     public void readDone(ReservationKey key, Hold state, long now) {
-        Reservation reservation = reservations.get(key);
-        if (reservation != null) {
-            abandonCalls(reservation);
-        }
+        with(key, this::abandonCalls);
         opened(key, state, now);
     }
 
     /** An attempt goes out. */
     public void attemptSent(ReservationKey key, AttemptPurpose purpose) {
-        Reservation reservation = reservations.get(key);
-        if (reservation != null) {
+        with(key, reservation -> {
             if (purpose == AttemptPurpose.FETCH) {
                 abandonCalls(reservation);
             }
             reservation.attemptSent(purpose);
-        }
+        });
     }
 
     /** The attempt that is out waits for a connection. */
     public void attemptConnecting(ReservationKey key) {
-        Reservation reservation = reservations.get(key);
-        if (reservation != null) {
-            reservation.attemptConnecting();
-        }
+        with(key, Reservation::attemptConnecting);
     }
 
     /** No attempt will take the states that are held: the prompt is read anew, or they could not be fetched. */
     public void statesUnneeded(ReservationKey key) {
-        Reservation reservation = reservations.get(key);
-        if (reservation != null) {
-            reservation.statesUnneeded();
-        }
+        with(key, Reservation::statesUnneeded);
     }
 
     /** The last byte of the attempt that is out was written to a connection that stands. */
     public void attemptWritten(ReservationKey key) {
-        Reservation reservation = reservations.get(key);
-        if (reservation != null) {
-            reservation.attemptWritten();
-        }
+        with(key, Reservation::attemptWritten);
     }
 
     /**
@@ -103,30 +91,34 @@
      * @param now the time
      */
     public void attemptEnded(ReservationKey key, boolean reached, long now) {
-        Reservation reservation = reservations.get(key);
-        if (reservation != null) {
+        with(key, reservation -> {
             reservation.attemptEnded(reached, now);
             forgetIfEmpty(reservation);
-        }
+        });
     }
 
     /** A stream began: its engine has taken what was held. */
     public void taken(ReservationKey key, long now) {
-        Reservation reservation = reservations.get(key);
-        if (reservation != null) {
+        with(key, reservation -> {
             abandonCalls(reservation);
             reservation.taken(now);
             forgetIfEmpty(reservation);
-        }
+        });
     }
 
     /** Nothing will take what is held: it is released at once, unless an attempt is out. */
     public void unwanted(ReservationKey key, long now) {
-        Reservation reservation = reservations.get(key);
-        if (reservation != null) {
+        with(key, reservation -> {
             reservation.unwanted();
             forgetIfEmpty(reservation);
             advance(reservation, now);
+        });
+    }
+
+    private void with(ReservationKey key, Consumer<Reservation> step) {
+        Reservation reservation = reservations.get(key);
+        if (reservation != null) {
+            step.accept(reservation);
         }
     }
 
@@ -178,18 +170,20 @@
             return;
         }
         String engine = targets.next(reservation.latest(), reservation.asked());
-        if (engine == null && policy.reach() == ReleaseReach.HOLDER) {
+        if (engine != null) {
+            call(reservation, engine, now);
+        } else if (policy.reach() == ReleaseReach.HOLDER) {
             // Its engine left the list, and what it held went with it.
             abandonCalls(reservation);
             reservations.remove(reservation.key);
-            return;
-        }
-        if (engine == null) {
+        } else {
             // All were asked, or there are none: from the beginning, a little later.
             reservation.forgetAsked();
             reservation.waitForAnswer(now);
-            return;
         }
+    }
+
+    private void call(Reservation reservation, String engine, long now) {
         long call = ++lastCall;
         calls.put(call, reservation);
         reservation.called(call, engine, now);
