Look only at reservations that are due, and wait longer after the first calls

The table went through all its entries at each turn: thousands where a gRPC edge has as many requests with their writers. An alarm for each that is due replaces that. A release that four engines have not answered waits twice as long each time, so that one that nobody answers takes at most 10 calls in place of 32.

--- a/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
@@ -10,7 +10,7 @@
 
 /** The holds of one key, the attempt that may take them, and the calls that release them. */
 final class Reservation {
-    private static final int CALLS_AT_ONCE = 4; // that follow each other on failures without a pause
+    private static final int CALLS_AT_ONCE = 4; // that follow each other quickly; then each wait doubles
 
     /**
      * A hold that is not known to be gone.
@@ -33,6 +33,8 @@
     }
 
     final ReservationKey key;
+    /** The time of the table's alarm for it; Long.MAX_VALUE for none. */
+    long alarmAt = Long.MAX_VALUE;
     private final ReleasePolicy policy;
     private final List<OpenHold> holds = new ArrayList<>();
     /** Calls that were made and not answered, with the time of each. */
@@ -153,7 +155,8 @@
 
     /** No engine can be asked now. */
     void waitForAnswer(long now) {
-        callableFrom = now + policy.retryMicros();
+        // The first few follow each other quickly, as the limit runs; after that it is too late for haste.
+        callableFrom = now + (policy.retryMicros() << Math.max(0, callsMade - CALLS_AT_ONCE));
         expiresAt = expiresAt == Long.MAX_VALUE ? now + policy.expiryMicros() : expiresAt;
     }
 
--- a/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
@@ -2,9 +2,9 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import sorrelhoist.core.time.Alarms;
 
 /**
  * What requests have reserved at engines, until it is known to be gone: the one place where that is kept.
@@ -24,6 +24,8 @@
     private final int most;
     private final Map<ReservationKey, Reservation> reservations = new LinkedHashMap<>();
     private final Map<Long, Reservation> calls = new HashMap<>();
+    /** For each reservation an entry at the time at which it is due, or before; some are out of date. */
+    private final Alarms<Reservation> alarms = new Alarms<>();
     private long lastCall;
     private long expired;
 
@@ -49,7 +51,9 @@
         if (reservations.size() >= most && !reservations.containsKey(key)) {
             makeRoom();
         }
-        reservations.computeIfAbsent(key, k -> new Reservation(k, policy, now)).opened(hold, now);
+        Reservation reservation = reservations.computeIfAbsent(key, k -> new Reservation(k, policy, now));
+        reservation.opened(hold, now);
+        setAlarm(reservation);
     }
 
     /** A read ended well. Calls for what an earlier one may have left would take its state away. */
@@ -119,6 +123,7 @@
         Reservation reservation = reservations.get(key);
         if (reservation != null) {
             step.accept(reservation);
+            setAlarm(reservation);
         }
     }
 
@@ -143,22 +148,29 @@
             forgetIfEmpty(reservation);
         }
         advance(reservation, now);
+        setAlarm(reservation);
     }
 
     /** Makes the calls that are due. */
     public void advance(long now) {
-        if (next() <= now) {
-            List.copyOf(reservations.values()).forEach(reservation -> advance(reservation, now));
+        for (Reservation due = alarms.due(now); due != null; due = alarms.due(now)) {
+            due.alarmAt = Long.MAX_VALUE;
+            advance(due, now);
+            setAlarm(due);
         }
     }
 
-    /** {@return when {@link #advance(long)} is next needed; Long.MAX_VALUE for never} */
+    /** {@return when {@link #advance(long)} is next needed, or a little before; Long.MAX_VALUE for never} */
     public long next() {
-        long next = Long.MAX_VALUE;
-        for (Reservation reservation : reservations.values()) {
-            next = Math.min(next, reservation.due());
+        return alarms.next();
+    }
+
+    private void setAlarm(Reservation reservation) {
+        long due = reservation.due();
+        if (due < reservation.alarmAt && reservations.get(reservation.key) == reservation) {
+            reservation.alarmAt = due;
+            alarms.set(due, reservation);
         }
-        return next;
     }
 
     private void advance(Reservation reservation, long now) {
--- a/core/src/test/java/sorrelhoist/core/reservation/ReservationTableTest.java
+++ b/core/src/test/java/sorrelhoist/core/reservation/ReservationTableTest.java
@@ -227,6 +227,7 @@
         assertEquals(0, table.size());
         assertEquals(0, table.calling());
         assertEquals(Long.MAX_VALUE, table.next());
+        assertTrue(calls.size() <= 10, calls.size() + " calls for a release that nobody answers");
     }
 
     @Test
