--- a/core/src/main/java/sorrelhoist/core/life/Call.java
+++ b/core/src/main/java/sorrelhoist/core/life/Call.java
@@ -15,7 +15,7 @@
  * @param timeoutMicros until the client gives up on the whole answer; 0 where it did not say
  * @param previousAttempts how often the client's own library has tried before, as it marks it
  * @param resumed whether the client has the beginning of the answer already and asks for the rest
- * @param trace the carrier's own, handed back with orders; may be null
+ * @param trace the carrier's own, handed back with commands; may be null
  */
 public record Call(String clientId, int cls, int tenant, String session, String prefix, long prefixTokens,
         String prompt, long promptTokens, int maxTokens, long timeoutMicros,
--- a/core/src/main/java/sorrelhoist/core/life/Order.java
+++ b/core/src/main/java/sorrelhoist/core/life/Command.java
@@ -2,8 +2,11 @@
 
 import sorrelhoist.Reason;
 
-/** What the carrier is to do, in the order in which it is told. */
-public sealed interface Order {
+/** What a {@link Router} has its carrier do, in the order in which it is told. */
+public sealed interface Command {
+    /** Calls the handler's method for this command. */
+    void accept(CommandHandler handler);
+
     /**
      * Have a reader read the prompt. Answered by one outcome of this attempt.
      *
@@ -17,7 +20,11 @@
      * @param why why this engine
      */
     record Read(AttemptId attempt, String name, String engine, Call call, String prompt, long promptTokens,
-            long until, Reason why) implements Order {
+            long until, Reason why) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.read(this);
+        }
     }
 
     /**
@@ -37,7 +44,11 @@
      * @param why why this engine
      */
     record Write(AttemptId attempt, String name, String engine, Call call, Held state, String place, String prompt,
-            long promptTokens, int fromToken, long until, long sendBy, Reason why) implements Order {
+            long promptTokens, int fromToken, long until, long sendBy, Reason why) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.write(this);
+        }
     }
 
     /**
@@ -45,7 +56,11 @@
      *
      * @param attempt which
      */
-    record Drop(AttemptId attempt) implements Order {
+    record Drop(AttemptId attempt) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.drop(this);
+        }
     }
 
     /**
@@ -56,7 +71,11 @@
      * @param engine the writer
      * @param call what is asked
      */
-    record Reserve(long request, String name, String engine, Call call) implements Order {
+    record Reserve(long request, String name, String engine, Call call) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.reserve(this);
+        }
     }
 
     /**
@@ -70,7 +89,11 @@
      * @param upTo where neither is named: the last attempt whose state is meant, so that a later read at the same
      *     engine keeps its own
      */
-    record Release(long id, String name, String engine, String state, String place, int upTo) implements Order {
+    record Release(long id, String name, String engine, String state, String place, int upTo) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.release(this);
+        }
     }
 
     /**
@@ -78,7 +101,11 @@
      *
      * @param id which
      */
-    record AbandonRelease(long id) implements Order {
+    record AbandonRelease(long id) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.abandonRelease(this);
+        }
     }
 
     /**
@@ -88,7 +115,11 @@
      * @param engine the engine that was asked last
      * @param calls how many releases were sent
      */
-    record ReleaseExpired(String name, String engine, int calls) implements Order {
+    record ReleaseExpired(String name, String engine, int calls) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.releaseExpired(this);
+        }
     }
 
     /**
@@ -99,7 +130,11 @@
      * @param text the token
      * @param ticket as given to {@link Router#token}
      */
-    record Deliver(long client, int index, String text, Object ticket) implements Order {
+    record Deliver(long client, int index, String text, Object ticket) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.deliver(this);
+        }
     }
 
     /**
@@ -108,7 +143,11 @@
      * @param client which
      * @param answer how it ended
      */
-    record Finish(long client, Answer answer) implements Order {
+    record Finish(long client, Answer answer) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.finish(this);
+        }
     }
 
     /**
@@ -116,7 +155,11 @@
      *
      * @param engine which
      */
-    record Probe(String engine) implements Order {
+    record Probe(String engine) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.probe(this);
+        }
     }
 
     /**
@@ -125,11 +168,19 @@
      * @param to a router's number; -1 for all
      * @param body at most 256 bytes
      */
-    record Tell(int to, String body) implements Order {
+    record Tell(int to, String body) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.tell(this);
+        }
     }
 
     /** Ask for the whole roster. */
-    record FetchRoster() implements Order {
+    record FetchRoster() implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.fetchRoster(this);
+        }
     }
 
     /**
@@ -137,7 +188,11 @@
      *
      * @param engine which
      */
-    record CloseIdle(String engine) implements Order {
+    record CloseIdle(String engine) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.closeIdle(this);
+        }
     }
 
     /**
@@ -146,6 +201,10 @@
      * @param request the request's name, or null
      * @param text the line
      */
-    record Log(String request, String text) implements Order {
+    record Log(String request, String text) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.log(this);
+        }
     }
 }
--- a/core/src/main/java/sorrelhoist/core/life/Reservations.java
+++ b/core/src/main/java/sorrelhoist/core/life/Reservations.java
@@ -30,11 +30,11 @@
     private final ReservationTable table;
     private final EngineActivity engines;
 
-    Reservations(RouterSettings settings, Consumer<Order> carrier) {
+    Reservations(RouterSettings settings, Consumer<Command> carrier) {
         ReleasePolicy policy = settings.releasePolicy();
         shared = policy.reach() == ReleaseReach.ANY_ENGINE;
         engines = new EngineActivity(SILENT_RETRIES * policy.retryMicros());
-        table = new ReservationTable(policy, shared ? engines : this::holder, new Orders(carrier),
+        table = new ReservationTable(policy, shared ? engines : this::holder, new Commands(carrier),
                 ROOM * settings.maxOpen());
     }
 
@@ -43,23 +43,23 @@
         return asked.isEmpty() || engines.knows(hold.engine()) ? hold.engine() : null;
     }
 
-    /** Turns the table's calls into orders. */
-    private record Orders(Consumer<Order> carrier) implements ReservationCarrier {
+    /** Turns the table's calls into commands. */
+    private record Commands(Consumer<Command> carrier) implements ReservationCarrier {
         @Override
         public void release(ReleaseCall call) {
             Hold hold = call.hold();
-            carrier.accept(new Order.Release(call.id(), call.request(), call.engine(), hold.state(), hold.place(),
+            carrier.accept(new Command.Release(call.id(), call.request(), call.engine(), hold.state(), hold.place(),
                     hold.upToAttempt()));
         }
 
         @Override
         public void abandon(long call) {
-            carrier.accept(new Order.AbandonRelease(call));
+            carrier.accept(new Command.AbandonRelease(call));
         }
 
         @Override
         public void expired(ReservationKey key, String engine, int calls) {
-            carrier.accept(new Order.ReleaseExpired(key.request(), engine, calls));
+            carrier.accept(new Command.ReleaseExpired(key.request(), engine, calls));
         }
     }
 
--- a/core/src/main/java/sorrelhoist/core/life/Router.java
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -19,7 +19,7 @@
 
 /**
  * The whole of one router but its sockets: requests' lives around {@link Decide}. It is told what happens, asks
- * {@code Decide}, and gives orders to a carrier. One thread at a time; time is the caller's, in microseconds.
+ * {@code Decide}, and gives commands to a carrier. One thread at a time; time is the caller's, in microseconds.
  *
  * <p>What it owes, whatever the carrier reports and in whatever order: each client one final answer and nothing
  * after it; each {@code Send} of {@code Decide} exactly one {@code AttemptEnded}; each held state or place a
@@ -57,7 +57,7 @@
 
     private final RouterSettings settings;
     private final Decide decide;
-    private final Consumer<Order> carrier;
+    private final Consumer<Command> carrier;
     private final Tap tap;
     private final StreamWatch watch;
     private final Reservations reservations;
@@ -74,9 +74,9 @@
      * Makes a router that knows no engine yet.
      *
      * @param settings what it is told at its start
-     * @param carrier takes orders, during the calls below
+     * @param carrier takes commands, during the calls below
      */
-    public Router(RouterSettings settings, Consumer<Order> carrier) {
+    public Router(RouterSettings settings, Consumer<Command> carrier) {
         this(settings, carrier, Tap.NONE);
     }
 
@@ -84,10 +84,10 @@
      * Makes a router that knows no engine yet.
      *
      * @param settings what it is told at its start
-     * @param carrier takes orders, during the calls below
+     * @param carrier takes commands, during the calls below
      * @param tap hears what Decide is told and says
      */
-    public Router(RouterSettings settings, Consumer<Order> carrier, Tap tap) {
+    public Router(RouterSettings settings, Consumer<Command> carrier, Tap tap) {
         this.tap = tap;
         this.settings = settings;
         this.carrier = carrier;
@@ -216,7 +216,7 @@
             if (life.finished) {
                 drop(life, a, Outcome.CANCELLED);
             } else {
-                carrier.accept(new Order.Deliver(life.client, index, text, ticket));
+                carrier.accept(new Command.Deliver(life.client, index, text, ticket));
             }
         }
         drain();
@@ -257,7 +257,7 @@
         heard(life, a);
         boolean wanted = !life.finished;
         if (wanted) {
-            carrier.accept(new Order.Deliver(life.client, life.tokens - 1, "", ticket));
+            carrier.accept(new Command.Deliver(life.client, life.tokens - 1, "", ticket));
         } else {
             drop(life, a, Outcome.CANCELLED);
         }
@@ -596,7 +596,7 @@
 
     /** Stops waiting for an attempt; its outcome is known here and now. */
     private void drop(Life life, Life.Attempt a, Outcome outcome) {
-        carrier.accept(new Order.Drop(a.id));
+        carrier.accept(new Command.Drop(a.id));
         // Nothing can have run where the request was never written: its time was used up by connecting.
         boolean unreached = !a.written && outcome == Outcome.TIMED_OUT;
         lost(life, a, unreached ? Outcome.CONNECT_FAILED : outcome, 0, Load.NONE);
@@ -661,7 +661,7 @@
             answered(life, answer instanceof Answer.Served ? Entry.End.SERVED : answer instanceof Answer.Refused
                     ? Entry.End.REFUSED : answer instanceof Answer.Stalled ? Entry.End.STALLED : Entry.End.FAILED,
                     answer.reason());
-            carrier.accept(new Order.Finish(life.client, answer));
+            carrier.accept(new Command.Finish(life.client, answer));
         }
     }
 
@@ -724,22 +724,22 @@
         } else if (action instanceof Reserve a) {
             Life life = lives.ofDecide(a.id());
             if (life != null && !life.finished) {
-                carrier.accept(new Order.Reserve(a.id(), life.name, a.server(), life.call));
+                carrier.accept(new Command.Reserve(a.id(), life.name, a.server(), life.call));
             }
         } else if (action instanceof Move a) {
             move(lives.ofDecide(a.id()));
         } else if (action instanceof Timer a) {
             alarms.set(now + a.delayMicros(), new DecideTimer(a.token()));
         } else if (action instanceof Probe a) {
-            carrier.accept(new Order.Probe(a.server()));
+            carrier.accept(new Command.Probe(a.server()));
         } else if (action instanceof Tell a) {
-            carrier.accept(new Order.Tell(a.to(), a.body()));
+            carrier.accept(new Command.Tell(a.to(), a.body()));
         } else if (action instanceof Follow || action instanceof FetchList) {
-            carrier.accept(new Order.FetchRoster());
+            carrier.accept(new Command.FetchRoster());
         } else if (action instanceof CloseIdle a) {
-            carrier.accept(new Order.CloseIdle(a.server()));
+            carrier.accept(new Command.CloseIdle(a.server()));
         } else if (action instanceof Log a) {
-            carrier.accept(new Order.Log(null, a.text()));
+            carrier.accept(new Command.Log(null, a.text()));
         }
     }
 
@@ -767,10 +767,10 @@
         String place = read ? "" : reservations.placeAt(life, s.server(), now);
         reservations.sending(life, a, now);
         if (read) {
-            carrier.accept(new Order.Read(id, life.name, s.server(), life.call, life.prompt(),
+            carrier.accept(new Command.Read(id, life.name, s.server(), life.call, life.prompt(),
                     life.promptTokens(), cut, s.why()));
         } else {
-            carrier.accept(new Order.Write(id, life.name, s.server(), life.call, life.state,
+            carrier.accept(new Command.Write(id, life.name, s.server(), life.call, life.state,
                     place, life.prompt(), life.promptTokens(), life.tokens,
                     life.endsBy, sendBy(life), s.why()));
         }
@@ -812,6 +812,6 @@
     }
 
     private void log(Life life, String text) {
-        carrier.accept(new Order.Log(life.name, text));
+        carrier.accept(new Command.Log(life.name, text));
     }
 }
--- a/core/src/test/java/sorrelhoist/core/life/Histories.java
+++ b/core/src/test/java/sorrelhoist/core/life/Histories.java
@@ -42,7 +42,7 @@
     private final Map<String, Long> drainedAt = new HashMap<>();
     private final Set<AttemptId> over = new HashSet<>();
     private final Map<AttemptId, String> stateOf = new HashMap<>();
-    private final UnaryOperator<Order> sabotage;
+    private final UnaryOperator<Command> sabotage;
     private final double trouble;
     private long now;
     private int states;
@@ -51,11 +51,11 @@
     int failed;
     int resumed;
 
-    Histories(long seed, UnaryOperator<Order> sabotage) {
+    Histories(long seed, UnaryOperator<Command> sabotage) {
         this(seed, sabotage, s -> Tap.NONE);
     }
 
-    Histories(long seed, UnaryOperator<Order> sabotage, Function<RouterSettings, Tap> tap) {
+    Histories(long seed, UnaryOperator<Command> sabotage, Function<RouterSettings, Tap> tap) {
         this.random = new SplittableRandom(seed);
         this.sabotage = sabotage;
         this.trouble = random.nextDouble() * 0.5;
@@ -147,19 +147,19 @@
 
     // ---- Engines ------------------------------------------------------------------------------------------
 
-    private void take(Order given) {
-        Order order = sabotage.apply(given);
-        if (order instanceof Order.Read o) {
+    private void take(Command given) {
+        Command order = sabotage.apply(given);
+        if (order instanceof Command.Read o) {
             sent(o.attempt(), o.name(), o.engine());
             read(o);
-        } else if (order instanceof Order.Write o) {
+        } else if (order instanceof Command.Write o) {
             sent(o.attempt(), o.name(), o.engine());
             write(o);
-        } else if (order instanceof Order.Drop o) {
+        } else if (order instanceof Command.Drop o) {
             end(o.attempt());
-        } else if (order instanceof Order.Release o) {
+        } else if (order instanceof Command.Release o) {
             held.keySet().removeIf(s -> o.state().isEmpty() ? false : s.equals(o.state()));
-        } else if (order instanceof Order.Deliver o) {
+        } else if (order instanceof Command.Deliver o) {
             Client c = client(o.client());
             if (c.ended || c.gone || now > c.endsBy) {
                 broken.add("rule 1: a token after the end");
@@ -170,7 +170,7 @@
             if (c.tokens == 1 && now > c.firstTokenBy) {
                 broken.add("rule 1: a first token after the deadline");
             }
-        } else if (order instanceof Order.Finish o) {
+        } else if (order instanceof Command.Finish o) {
             finish(client(o.client()), o.answer());
         }
     }
@@ -229,7 +229,7 @@
         router.attemptLost(now, id, how, note, Load.NONE);
     }
 
-    private void read(Order.Read o) {
+    private void read(Command.Read o) {
         double luck = random.nextDouble();
         long took = 1000 + random.nextLong(100_000);
         if (luck < trouble / 2) {
@@ -246,7 +246,7 @@
         }
     }
 
-    private void write(Order.Write o) {
+    private void write(Command.Write o) {
         double luck = random.nextDouble();
         long took = 1000 + random.nextLong(100_000);
         if (o.state() != null) {
@@ -270,7 +270,7 @@
     }
 
     /** The attempt may have an effect: at most once where that matters. */
-    private void run(Order.Write o) {
+    private void run(Command.Write o) {
         boolean again = !ran.add(o.name());
         if (o.call().cls() == Fleet.UNSAFE && (again || o.fromToken() > 0)) {
             broken.add("rule 2: an unsafe request ran twice");
@@ -285,7 +285,7 @@
     private final Set<String> ran = new HashSet<>();
     private final Map<String, String> cells = new HashMap<>();
 
-    private void tokens(Order.Write o, int index, long delay) {
+    private void tokens(Command.Write o, int index, long delay) {
         later(delay, o.attempt(), () -> {
             held.remove(stateOf.get(o.attempt()));
             double luck = random.nextDouble();
--- a/core/src/test/java/sorrelhoist/core/life/HistoriesTest.java
+++ b/core/src/test/java/sorrelhoist/core/life/HistoriesTest.java
@@ -28,7 +28,7 @@
         assertTrue(served > COUNT && refused > COUNT / 20 && failed > COUNT / 100);
     }
 
-    private static void caught(String what, UnaryOperator<Order> sabotage) {
+    private static void caught(String what, UnaryOperator<Command> sabotage) {
         for (long seed = 0; seed < 300; seed++) {
             Histories h = new Histories(seed, sabotage);
             h.play();
@@ -41,10 +41,10 @@
 
     @Test
     void brokenTransitionsAreCaught() {
-        caught("rule 1: no answer", o -> o instanceof Order.Finish ? null : o);
-        caught("rule 5: ", o -> o instanceof Order.Release ? null : o);
-        caught("a token lost or doubled", o -> o instanceof Order.Deliver d
-                ? new Order.Deliver(d.client(), d.index() / 2, d.text(), null) : o);
-        caught("rule 2: two attempts out", o -> o instanceof Order.Drop ? null : o);
+        caught("rule 1: no answer", o -> o instanceof Command.Finish ? null : o);
+        caught("rule 5: ", o -> o instanceof Command.Release ? null : o);
+        caught("a token lost or doubled", o -> o instanceof Command.Deliver d
+                ? new Command.Deliver(d.client(), d.index() / 2, d.text(), null) : o);
+        caught("rule 2: two attempts out", o -> o instanceof Command.Drop ? null : o);
     }
 }
--- a/core/src/test/java/sorrelhoist/core/life/ReservationWorld.java
+++ b/core/src/test/java/sorrelhoist/core/life/ReservationWorld.java
@@ -270,18 +270,18 @@
 
     // ---- What the router orders ---------------------------------------------------------------------------
 
-    private void take(Order order) {
-        if (order instanceof Order.Read o) {
+    private void take(Command order) {
+        if (order instanceof Command.Read o) {
             send(new Out(o.attempt(), o.engine(), true));
-        } else if (order instanceof Order.Write o) {
+        } else if (order instanceof Command.Write o) {
             send(new Out(o.attempt(), o.engine(), false));
-        } else if (order instanceof Order.Drop o) {
+        } else if (order instanceof Command.Drop o) {
             drop(out.get(o.attempt()));
-        } else if (order instanceof Order.Finish) {
+        } else if (order instanceof Command.Finish) {
             answered = true;
-        } else if (order instanceof Order.Release o) {
+        } else if (order instanceof Command.Release o) {
             release(o);
-        } else if (order instanceof Order.AbandonRelease o) {
+        } else if (order instanceof Command.AbandonRelease o) {
             abandoned.add(o.id());
         }
     }
@@ -331,7 +331,7 @@
         }
     }
 
-    private void release(Order.Release o) {
+    private void release(Command.Release o) {
         Happening fate = gone.contains(o.engine()) ? Happening.RELEASE_REFUSED : releases.poll();
         if (fate == Happening.RELEASE_LOST) {
             return;
--- a/core/src/test/java/sorrelhoist/core/life/RouterBench.java
+++ b/core/src/test/java/sorrelhoist/core/life/RouterBench.java
@@ -55,10 +55,10 @@
         }
     }
 
-    private void take(Order order) {
-        if (order instanceof Order.Read r) {
+    private void take(Command order) {
+        if (order instanceof Command.Read r) {
             last = r.attempt();
-        } else if (order instanceof Order.Write w) {
+        } else if (order instanceof Command.Write w) {
             last = w.attempt();
         }
     }
--- a/core/src/test/java/sorrelhoist/core/life/RouterTest.java
+++ b/core/src/test/java/sorrelhoist/core/life/RouterTest.java
@@ -14,7 +14,7 @@
 
 /** One request at a time through each of its ways, with time in the test's hands. */
 class RouterTest {
-    private final List<Order> orders = new ArrayList<>();
+    private final List<Command> orders = new ArrayList<>();
     private Router router = router(true, true);
 
     private Router router(boolean cancel, boolean resumes) {
@@ -24,21 +24,21 @@
         return r;
     }
 
-    private <T extends Order> T last(Class<T> type) {
+    private <T extends Command> T last(Class<T> type) {
         List<T> all = all(type);
         assertTrue(!all.isEmpty(), "no " + type.getSimpleName());
         return all.get(all.size() - 1);
     }
 
-    private <T extends Order> List<T> all(Class<T> type) {
+    private <T extends Command> List<T> all(Class<T> type) {
         return orders.stream().filter(type::isInstance).map(type::cast).toList();
     }
 
-    private Order.Write placed(long at, int cls, int tokens, long timeout) {
+    private Command.Write placed(long at, int cls, int tokens, long timeout) {
         router.arrived(at, Fleet.call(cls, tokens, timeout));
-        Order.Read read = last(Order.Read.class);
+        Command.Read read = last(Command.Read.class);
         router.readDone(at + 10_000, read.attempt(), "s1", 0, Load.NONE);
-        return last(Order.Write.class);
+        return last(Command.Write.class);
     }
 
     private void nothingLeft() {
@@ -63,40 +63,40 @@
 
     @Test
     void aRequestIsReadThenWrittenThenServed() {
-        Order.Write w = placed(0, Fleet.SAFE, 10, 0);
+        Command.Write w = placed(0, Fleet.SAFE, 10, 0);
         assertEquals("s1", w.state().state());
         for (int i = 0; i < 3; i++) {
             router.token(20_000 + i, w.attempt(), i, "t", null);
         }
         router.streamDone(30_000, w.attempt(), 3, 0, Load.NONE);
-        assertEquals(3, all(Order.Deliver.class).size());
-        assertEquals(new Answer.Served(3), last(Order.Finish.class).answer());
-        assertEquals(0, all(Order.Release.class).size());
+        assertEquals(3, all(Command.Deliver.class).size());
+        assertEquals(new Answer.Served(3), last(Command.Finish.class).answer());
+        assertEquals(0, all(Command.Release.class).size());
         nothingLeft();
     }
 
     @Test
     void aClientThatLeavesBetweenReadAndWriteLeavesNothingHeld() {
         long client = router.arrived(0, Fleet.call(Fleet.SAFE, 10, 0));
-        Order.Write w = placedOf(client);
+        Command.Write w = placedOf(client);
         router.clientGone(20_000, client);
-        assertEquals(w.attempt(), last(Order.Drop.class).attempt());
-        assertEquals("s1", last(Order.Release.class).state());
-        assertEquals(0, all(Order.Finish.class).size());
+        assertEquals(w.attempt(), last(Command.Drop.class).attempt());
+        assertEquals("s1", last(Command.Release.class).state());
+        assertEquals(0, all(Command.Finish.class).size());
         nothingLeft();
     }
 
-    private Order.Write placedOf(long client) {
-        router.readDone(10_000, last(Order.Read.class).attempt(), "s1", 0, Load.NONE);
-        return last(Order.Write.class);
+    private Command.Write placedOf(long client) {
+        router.readDone(10_000, last(Command.Read.class).attempt(), "s1", 0, Load.NONE);
+        return last(Command.Write.class);
     }
 
     @Test
     void aReadGivenUpOnIsReleasedAtItsReader() {
         long client = router.arrived(0, Fleet.call(Fleet.SAFE, 10, 0));
-        Order.Read r = last(Order.Read.class);
+        Command.Read r = last(Command.Read.class);
         router.clientGone(5_000, client);
-        Order.Release release = last(Order.Release.class);
+        Command.Release release = last(Command.Release.class);
         assertEquals(r.engine(), release.engine());
         assertEquals("", release.state());
         assertEquals(r.attempt().number(), release.upTo());
@@ -106,7 +106,7 @@
     @Test
     void lateWordOfADroppedAttemptChangesNothing() {
         long client = router.arrived(0, Fleet.call(Fleet.SAFE, 10, 0));
-        Order.Read r = last(Order.Read.class);
+        Command.Read r = last(Command.Read.class);
         router.clientGone(5_000, client);
         int before = orders.size();
         router.readDone(6_000, r.attempt(), "s", 0, Load.NONE);
@@ -119,58 +119,58 @@
     /** Decide goes back to a reader after a writer's error, with the first state still at its reader. */
     @Test
     void aStateIsLetGoWhenThePromptIsReadAnew() {
-        Order.Write w = placed(0, Fleet.SAFE, 10, 0);
+        Command.Write w = placed(0, Fleet.SAFE, 10, 0);
         router.attemptLost(20_000, w.attempt(), Outcome.ERROR, 0, Load.NONE);
-        assertEquals("s1", last(Order.Release.class).state());
-        assertEquals(2, all(Order.Read.class).size());
-        router.readDone(30_000, last(Order.Read.class).attempt(), "s2", 100, Load.NONE);
-        assertEquals("s2", last(Order.Write.class).state().state());
+        assertEquals("s1", last(Command.Release.class).state());
+        assertEquals(2, all(Command.Read.class).size());
+        router.readDone(30_000, last(Command.Read.class).attempt(), "s2", 100, Load.NONE);
+        assertEquals("s2", last(Command.Write.class).state().state());
     }
 
     @Test
     void aBrokenStreamGoesOnFromItsLastToken() {
-        Order.Write w = placed(0, Fleet.SAFE, 10, 0);
+        Command.Write w = placed(0, Fleet.SAFE, 10, 0);
         router.token(20_000, w.attempt(), 0, "a ", null);
         router.token(30_000, w.attempt(), 1, "b ", null);
         router.attemptLost(40_000, w.attempt(), Outcome.RESET, 0, Load.NONE);
-        Order.Read again = last(Order.Read.class);
+        Command.Read again = last(Command.Read.class);
         assertNotEquals(w.attempt().request(), again.attempt().request());
         assertTrue(again.prompt().endsWith("a b "));
         assertEquals(102, again.promptTokens());
         router.readDone(50_000, again.attempt(), "s2", 100, Load.NONE);
-        Order.Write on = last(Order.Write.class);
+        Command.Write on = last(Command.Write.class);
         assertEquals(2, on.fromToken());
         router.token(60_000, on.attempt(), 2, "c ", null);
         router.streamDone(70_000, on.attempt(), 3, 0, Load.NONE);
-        assertEquals(List.of(0, 1, 2), all(Order.Deliver.class).stream().map(Order.Deliver::index).toList());
-        assertEquals(1, all(Order.Finish.class).size());
-        assertEquals(new Answer.Served(3), last(Order.Finish.class).answer());
+        assertEquals(List.of(0, 1, 2), all(Command.Deliver.class).stream().map(Command.Deliver::index).toList());
+        assertEquals(1, all(Command.Finish.class).size());
+        assertEquals(new Answer.Served(3), last(Command.Finish.class).answer());
         nothingLeft();
     }
 
     @Test
     void aBrokenStreamOfAnUnsafeClassFailsAtOnce() {
-        Order.Write w = placed(0, Fleet.UNSAFE, 10, 0);
+        Command.Write w = placed(0, Fleet.UNSAFE, 10, 0);
         router.token(20_000, w.attempt(), 0, "a ", null);
         router.attemptLost(40_000, w.attempt(), Outcome.RESET, 0, Load.NONE);
-        assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
-        assertEquals(1, all(Order.Read.class).size());
+        assertInstanceOf(Answer.Failed.class, last(Command.Finish.class).answer());
+        assertEquals(1, all(Command.Read.class).size());
         nothingLeft();
     }
 
     @Test
     void whereStreamsAreNotResumedABrokenOneFailsAtOnce() {
         router = router(true, false);
-        Order.Write w = placed(0, Fleet.SAFE, 10, 0);
+        Command.Write w = placed(0, Fleet.SAFE, 10, 0);
         router.token(20_000, w.attempt(), 0, "a ", null);
         router.attemptLost(40_000, w.attempt(), Outcome.ERROR, 0, Load.NONE);
-        assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
+        assertInstanceOf(Answer.Failed.class, last(Command.Finish.class).answer());
         nothingLeft();
     }
 
     @Test
     void aSilentStreamIsTakenForDeadAfterWhatWasSeen() {
-        Order.Write w = placed(0, Fleet.SAFE, 100, 0);
+        Command.Write w = placed(0, Fleet.SAFE, 100, 0);
         long t = 20_000;
         for (int i = 0; i < 50; i++, t += 20_000) {
             router.token(t, w.attempt(), i, "t ", null);
@@ -178,44 +178,44 @@
         }
         long last = t - 20_000;
         router.advance(last + 700_000);
-        assertEquals(0, all(Order.Drop.class).size());
+        assertEquals(0, all(Command.Drop.class).size());
         router.advance(last + 1_000_000);
-        assertEquals(w.attempt(), last(Order.Drop.class).attempt());
-        assertTrue(last(Order.Read.class).prompt().endsWith("t "));
+        assertEquals(w.attempt(), last(Command.Drop.class).attempt());
+        assertTrue(last(Command.Read.class).prompt().endsWith("t "));
     }
 
     @Test
     void tokensOutOfOrderAndAfterTheEndNeverReachTheClient() {
         router = router(true, false);
-        Order.Write w = placed(0, Fleet.SAFE, 10, 0);
+        Command.Write w = placed(0, Fleet.SAFE, 10, 0);
         router.token(20_000, w.attempt(), 0, "a", null);
         router.token(21_000, w.attempt(), 2, "c", null);
         router.token(22_000, w.attempt(), 1, "b", null);
-        assertEquals(1, all(Order.Deliver.class).size());
-        assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
-        assertEquals(1, all(Order.Finish.class).size());
+        assertEquals(1, all(Command.Deliver.class).size());
+        assertInstanceOf(Answer.Failed.class, last(Command.Finish.class).answer());
+        assertEquals(1, all(Command.Finish.class).size());
         nothingLeft();
     }
 
     @Test
     void anAnswerThatEndsShortOfItsCountIsNoAnswer() {
         router = router(true, false);
-        Order.Write w = placed(0, Fleet.SAFE, 10, 0);
+        Command.Write w = placed(0, Fleet.SAFE, 10, 0);
         router.token(20_000, w.attempt(), 0, "a", null);
         router.streamDone(21_000, w.attempt(), 2, 0, Load.NONE);
-        assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
+        assertInstanceOf(Answer.Failed.class, last(Command.Finish.class).answer());
     }
 
     @Test
     void aStreamEndsBeforeItsClientsTimeIsUp() {
-        Order.Write w = placed(0, Fleet.SAFE, 10, Fleet.SECOND);
+        Command.Write w = placed(0, Fleet.SAFE, 10, Fleet.SECOND);
         router.token(20_000, w.attempt(), 0, "a", null);
         for (long t = 100_000; t < 980_000; t += 100_000) {
             router.advance(t);
         }
-        assertEquals(0, all(Order.Finish.class).size());
+        assertEquals(0, all(Command.Finish.class).size());
         router.advance(Fleet.SECOND - Fleet.MARGIN);
-        Answer.Failed failed = assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
+        Answer.Failed failed = assertInstanceOf(Answer.Failed.class, last(Command.Finish.class).answer());
         assertTrue(failed.late());
         nothingLeft();
     }
@@ -226,7 +226,7 @@
         while (router.nextAlarm() < 4 * Fleet.SECOND + 1 && router.open() > 0) {
             router.advance(router.nextAlarm());
         }
-        assertEquals(1, all(Order.Finish.class).size());
+        assertEquals(1, all(Command.Finish.class).size());
         nothingLeft();
     }
 
@@ -234,49 +234,49 @@
     void whereCancelsAreNotAllowedAGoneClientsAttemptEndsByItself() {
         router = router(false, true);
         long client = router.arrived(0, Fleet.call(Fleet.SAFE, 10, 0));
-        Order.Read r = last(Order.Read.class);
+        Command.Read r = last(Command.Read.class);
         router.clientGone(5_000, client);
-        assertEquals(0, all(Order.Drop.class).size());
+        assertEquals(0, all(Command.Drop.class).size());
         router.readDone(10_000, r.attempt(), "s1", 0, Load.NONE);
-        assertEquals("s1", last(Order.Release.class).state());
+        assertEquals("s1", last(Command.Release.class).state());
         nothingLeft();
     }
 
     @Test
     void aDrainingRouterRefusesWithAHintAndEndsTheRestWhenTold() {
-        Order.Write w = placed(0, Fleet.SAFE, 10, 0);
+        Command.Write w = placed(0, Fleet.SAFE, 10, 0);
         router.token(20_000, w.attempt(), 0, "a", null);
         router.drainNow();
         router.arrived(30_000, Fleet.call(Fleet.SAFE, 10, 0));
-        assertTrue(((Answer.Refused) last(Order.Finish.class).answer()).backoffMicros() > 0);
+        assertTrue(((Answer.Refused) last(Command.Finish.class).answer()).backoffMicros() > 0);
         router.endAll(40_000, "the edge stops");
-        assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
-        assertEquals(2, all(Order.Finish.class).size());
+        assertInstanceOf(Answer.Failed.class, last(Command.Finish.class).answer());
+        assertEquals(2, all(Command.Finish.class).size());
         nothingLeft();
     }
 
     @Test
     void anEngineIsNotToBlameForAClientThatDoesNotRead() {
-        Order.Write w = placed(0, Fleet.SAFE, 100, 0);
+        Command.Write w = placed(0, Fleet.SAFE, 100, 0);
         router.token(20_000, w.attempt(), 0, "t ", null);
         router.clientBlocked(30_000, 1, true);
         router.advance(2_900_000);
-        assertEquals(0, all(Order.Drop.class).size());
+        assertEquals(0, all(Command.Drop.class).size());
         router.clientBlocked(2_950_000, 1, false);
         router.advance(4_000_000);
-        assertEquals(0, all(Order.Drop.class).size());
+        assertEquals(0, all(Command.Drop.class).size());
         router.advance(6_000_000);
-        assertEquals(1, all(Order.Drop.class).size());
+        assertEquals(1, all(Command.Drop.class).size());
     }
 
     @Test
     void aClientThatTakesNothingIsGivenUpInBoundedTime() {
-        Order.Write w = placed(0, Fleet.SAFE, 100, 0);
+        Command.Write w = placed(0, Fleet.SAFE, 100, 0);
         router.token(20_000, w.attempt(), 0, "t ", null);
         router.clientBlocked(30_000, 1, true);
         router.advance(30_000 + Fleet.STALL);
-        assertInstanceOf(Answer.Stalled.class, last(Order.Finish.class).answer());
-        assertEquals(w.attempt(), last(Order.Drop.class).attempt());
+        assertInstanceOf(Answer.Stalled.class, last(Command.Finish.class).answer());
+        assertEquals(w.attempt(), last(Command.Drop.class).attempt());
         nothingLeft();
     }
 
@@ -291,7 +291,7 @@
     @Test
     void aPlaceThatComesTooLateIsLetGo() {
         router.placeAnswered(5, 99, "w1", true, "p1");
-        assertEquals("p1", last(Order.Release.class).place());
+        assertEquals("p1", last(Command.Release.class).place());
     }
 
     @Test
@@ -309,8 +309,8 @@
         assertThrows(IllegalStateException.class, () -> faulty.arrived(0, Fleet.call(Fleet.SAFE, 10, Fleet.SECOND)));
         assertEquals(1, faulty.open());
         faulty.advance(Fleet.SECOND + Fleet.SECOND / 2);
-        assertInstanceOf(Answer.Failed.class, last(Order.Finish.class).answer());
-        assertEquals(1, all(Order.Finish.class).size());
+        assertInstanceOf(Answer.Failed.class, last(Command.Finish.class).answer());
+        assertEquals(1, all(Command.Finish.class).size());
         assertEquals(0, faulty.open());
     }
 
@@ -318,7 +318,7 @@
     void anOrderThatCannotBeCarriedOutTakesNoOtherWithIt() {
         boolean[] failed = new boolean[1];
         Router faulty = new Router(Fleet.settings(true, true, 7), order -> {
-            if (order instanceof Order.Drop && !failed[0]) {
+            if (order instanceof Command.Drop && !failed[0]) {
                 failed[0] = true;
                 throw new IllegalStateException("a fault of the program's own");
             }
@@ -336,17 +336,17 @@
             }
         }
         assertTrue(failed[0]);
-        assertEquals(3, all(Order.Finish.class).size());
+        assertEquals(3, all(Command.Finish.class).size());
         assertEquals(0, faulty.open());
     }
 
     @Test
     void aRepeatThatMayHaveASecondEffectSaysByWhenItHasToLeave() {
-        Order.Write first = placed(0, Fleet.KEYED, 10, 0);
+        Command.Write first = placed(0, Fleet.KEYED, 10, 0);
         assertEquals(Long.MAX_VALUE, first.sendBy(), "the first attempt may go out at any time");
         router.attemptLost(20_000, first.attempt(), Outcome.RESET, 0, Load.NONE);
-        router.readDone(30_000, last(Order.Read.class).attempt(), "s2", 0, Load.NONE);
-        Order.Write second = last(Order.Write.class);
+        router.readDone(30_000, last(Command.Read.class).attempt(), "s2", 0, Load.NONE);
+        Command.Write second = last(Command.Write.class);
         assertNotEquals(first.attempt(), second.attempt());
         // Sent at 10 ms, when the read had ended; the window of the class is two seconds.
         assertEquals(10_000 + 2 * Fleet.SECOND, second.sendBy());
@@ -354,13 +354,13 @@
 
     @Test
     void aRepeatOfWhatNeverRanOrIsHarmlessMayLeaveAtAnyTime() {
-        Order.Write neverRan = placed(0, Fleet.KEYED, 10, 0);
+        Command.Write neverRan = placed(0, Fleet.KEYED, 10, 0);
         router.attemptLost(20_000, neverRan.attempt(), Outcome.CONNECT_FAILED, 0, Load.NONE);
-        assertEquals(Long.MAX_VALUE, last(Order.Write.class).sendBy());
-        Order.Write safe = placed(100_000, Fleet.SAFE, 10, 0);
+        assertEquals(Long.MAX_VALUE, last(Command.Write.class).sendBy());
+        Command.Write safe = placed(100_000, Fleet.SAFE, 10, 0);
         router.attemptLost(120_000, safe.attempt(), Outcome.TIMED_OUT, 0, Load.NONE);
-        router.readDone(130_000, last(Order.Read.class).attempt(), "s2", 0, Load.NONE);
-        assertEquals(Long.MAX_VALUE, last(Order.Write.class).sendBy());
+        router.readDone(130_000, last(Command.Read.class).attempt(), "s2", 0, Load.NONE);
+        assertEquals(Long.MAX_VALUE, last(Command.Write.class).sendBy());
     }
 
     @Test
@@ -368,16 +368,16 @@
         long client = router.arrived(0, Fleet.call(Fleet.SAFE, 10, 0));
         placedOf(client);
         router.clientGone(20_000, client);
-        assertEquals(1, all(Order.Release.class).size());
+        assertEquals(1, all(Command.Release.class).size());
         router.advance(20_000 + Fleet.RELEASE / 4);
-        Order.Release again = last(Order.Release.class);
-        assertEquals(2, all(Order.Release.class).size());
+        Command.Release again = last(Command.Release.class);
+        assertEquals(2, all(Command.Release.class).size());
         assertEquals("s1", again.state());
-        assertEquals(all(Order.Release.class).get(0).engine(), again.engine());
+        assertEquals(all(Command.Release.class).get(0).engine(), again.engine());
         router.releaseEnded(20_000 + Fleet.RELEASE / 4, again.id(), true);
         assertEquals(0, router.reserved());
         router.advance(10 * Fleet.RELEASE);
-        assertEquals(2, all(Order.Release.class).size());
+        assertEquals(2, all(Command.Release.class).size());
         assertEquals(0, router.releasesExpired());
     }
 
@@ -389,7 +389,7 @@
         for (long now = 20_000; now < 10 * Fleet.RELEASE; now += 10_000) {
             router.advance(now);
         }
-        assertEquals(1, all(Order.ReleaseExpired.class).size());
+        assertEquals(1, all(Command.ReleaseExpired.class).size());
         assertEquals(1, router.releasesExpired());
         assertEquals(0, router.reserved());
     }
@@ -397,30 +397,30 @@
     /** Its reader may only be out of the writer's reach. */
     @Test
     void aStateThatAWriterCouldNotFetchIsReleasedAtItsReader() {
-        Order.Write w = placed(0, Fleet.SAFE, 10, 0);
+        Command.Write w = placed(0, Fleet.SAFE, 10, 0);
         router.attemptLost(20_000, w.attempt(), Outcome.FULL, 1, Load.NONE);
-        assertEquals("s1", last(Order.Release.class).state());
-        assertEquals(w.state().engine(), last(Order.Release.class).engine());
+        assertEquals("s1", last(Command.Release.class).state());
+        assertEquals(w.state().engine(), last(Command.Release.class).engine());
     }
 
     @Test
     void anAttemptThatIsCutBeforeItWasWrittenNeverRan() {
-        Order.Write w = placed(0, Fleet.KEYED, 10, 0);
+        Command.Write w = placed(0, Fleet.KEYED, 10, 0);
         router.attemptConnecting(10_000, w.attempt());
-        while (all(Order.Drop.class).isEmpty()) {
+        while (all(Command.Drop.class).isEmpty()) {
             router.advance(router.nextAlarm());
         }
-        assertEquals(w.attempt(), last(Order.Drop.class).attempt());
-        Order.Read again = last(Order.Read.class);
+        assertEquals(w.attempt(), last(Command.Drop.class).attempt());
+        Command.Read again = last(Command.Read.class);
         assertNotEquals(0, again.attempt().number());
         router.readDone(3 * Fleet.SECOND, again.attempt(), "s2", 0, Load.NONE);
-        assertEquals(Long.MAX_VALUE, last(Order.Write.class).sendBy(), "no window runs for what never ran");
+        assertEquals(Long.MAX_VALUE, last(Command.Write.class).sendBy(), "no window runs for what never ran");
     }
 
     @Test
     void aPlaceThatMayBeHeldIsReleasedWhereItsRequestIsOver() {
         router.placeUnknown(5, 99, "w1", "p1");
-        assertEquals("p1", last(Order.Release.class).place());
-        assertEquals("w1", last(Order.Release.class).engine());
+        assertEquals("p1", last(Command.Release.class).place());
+        assertEquals("w1", last(Command.Release.class).engine());
     }
 }
--- a/edge/src/main/java/sorrelhoist/edge/Edge.java
+++ b/edge/src/main/java/sorrelhoist/edge/Edge.java
@@ -99,10 +99,7 @@
                 () -> loop.due(TEACH));
         learner = seal == null ? null : new Learner(settings.name(), settings.zone(), seal, network.next(), this::known,
                 k -> loop.post(r -> loop.learn(Processes.inward(k, table), 0)));
-        loop.engines(order -> {
-            engines.carry(order);
-            planner.carry(order);
-        });
+        loop.connect(engines, planner);
     }
 
     private static Seal seal(List<EdgeSettings.KeySettings> keys) {
--- a/edge/src/main/java/sorrelhoist/edge/Engines.java
+++ b/edge/src/main/java/sorrelhoist/edge/Engines.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -12,7 +13,8 @@
 import sorrelhoist.Routing.Outcome;
 import sorrelhoist.core.life.AttemptId;
 import sorrelhoist.core.life.Call;
-import sorrelhoist.core.life.Order;
+import sorrelhoist.core.life.Command;
+import sorrelhoist.core.life.EngineCommands;
 import sorrelhoist.core.members.EngineTable;
 import sorrelhoist.protocol.engine.DecodeEvent;
 import sorrelhoist.protocol.engine.DecodeRequest;
@@ -31,8 +33,8 @@
 import sorrelhoist.protocol.hpack.Headers;
 import sorrelhoist.protocol.protobuf.ProtoException;
 
-/** Carries orders to engines and their answers back. Called on the router's thread; calls run on network threads. */
-final class Engines {
+/** Carries commands to engines and their answers back. Called on the router's thread; calls run on network threads. */
+final class Engines implements EngineCommands {
     private static final Logger LOG = LoggerFactory.getLogger(Engines.class);
     private static final long MAX_HOP = 3_600_000_000L;
 
@@ -59,34 +61,27 @@
         this.options = options;
     }
 
-    /** Carries out an order, where it is one for engines. */
-    void carry(Order order) {
-        if (order instanceof Order.Read o) {
-            read(o);
-        } else if (order instanceof Order.Write o) {
-            write(o);
-        } else if (order instanceof Order.Drop o) {
-            Flight flight = flights.remove(o.attempt());
-            if (flight != null) {
-                tracing.attemptEnded(flight.span(), "dropped");
-                flight.channel().loop().execute(flight.call()::cancel);
-            }
-        } else if (order instanceof Order.Reserve o) {
-            reserve(o);
-        } else if (order instanceof Order.Release o) {
-            ReleaseRequest r = new ReleaseRequest(o.name(), o.state(), o.place(), o.upTo());
-            release(o.id(), o.engine(), r);
-        } else if (order instanceof Order.AbandonRelease o) {
-            abandon(o.id());
-        } else if (order instanceof Order.ReleaseExpired o) {
-            LOG.atWarn().addKeyValue("event", "release_expired").addKeyValue("request", o.name())
-                    .addKeyValue("engine", o.engine()).addKeyValue("calls", o.calls())
-                    .log("what is held for a request was not released in time");
-        } else if (order instanceof Order.CloseIdle o) {
-            GrpcChannel channel = channel(o.engine());
-            if (channel != null) {
-                channel.loop().execute(channel::closeIdle);
-            }
+    @Override
+    public void drop(Command.Drop command) {
+        Flight flight = flights.remove(command.attempt());
+        if (flight != null) {
+            tracing.attemptEnded(flight.span(), "dropped");
+            onNetwork(flight.channel(), flight.call()::cancel);
+        }
+    }
+
+    @Override
+    public void releaseExpired(Command.ReleaseExpired command) {
+        LOG.atWarn().addKeyValue("event", "release_expired").addKeyValue("request", command.name())
+                .addKeyValue("engine", command.engine()).addKeyValue("calls", command.calls())
+                .log("what is held for a request was not released in time");
+    }
+
+    @Override
+    public void closeIdle(Command.CloseIdle command) {
+        GrpcChannel channel = channel(command.engine());
+        if (channel != null) {
+            onNetwork(channel, channel::closeIdle);
         }
     }
 
@@ -110,6 +105,18 @@
         return fresh;
     }
 
+    /** Runs something on a channel's thread, unless that has ended: as the edge stops, releases may still be due. */
+    private static void onNetwork(GrpcChannel channel, Runnable task) {
+        if (channel.loop().isShuttingDown()) {
+            return;
+        }
+        try {
+            channel.loop().execute(task);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("the network has ended", e);
+        }
+    }
+
     private Headers until(long until) {
         long left = until == Long.MAX_VALUE ? MAX_HOP : Math.max(1, until - loop.now());
         return new Headers().add("grpc-timeout", Timeouts.format(left));
@@ -132,13 +139,14 @@
         ClientCall call = channel.call(path, metadata, answers);
         call.sendLast(request);
         flights.put(id, new Flight(channel, call, span));
-        channel.loop().execute(() -> channel.start(call));
+        onNetwork(channel, () -> channel.start(call));
     }
 
-    private void release(long id, String engine, ReleaseRequest request) {
-        GrpcChannel channel = channel(engine);
+    @Override
+    public void release(Command.Release command) {
+        GrpcChannel channel = channel(command.engine());
         if (channel == null) {
-            loop.post(r -> r.releaseEnded(loop.now(), id, false));
+            loop.post(r -> r.releaseEnded(loop.now(), command.id(), false));
             return;
         }
         ClientCall call = channel.call(EngineApi.RELEASE, until(loop.now() + options.dialMicros() * 4), new Unheard() {
@@ -146,31 +154,34 @@
             public void closed(ClientCall c, Status status, Headers trailers, ClientCall.End end) {
                 boolean done = end == ClientCall.End.STATUS && status.isOk();
                 loop.post(r -> {
-                    releases.remove(id);
-                    r.releaseEnded(loop.now(), id, done);
+                    releases.remove(command.id());
+                    r.releaseEnded(loop.now(), command.id(), done);
                 });
             }
         });
-        call.sendLast(request.bytes());
-        releases.put(id, new Flight(channel, call, null));
-        channel.loop().execute(() -> channel.start(call));
+        call.sendLast(new ReleaseRequest(command.name(), command.state(), command.place(), command.upTo()).bytes());
+        releases.put(command.id(), new Flight(channel, call, null));
+        onNetwork(channel, () -> channel.start(call));
     }
 
-    private void abandon(long release) {
-        Flight flight = releases.remove(release);
+    @Override
+    public void abandonRelease(Command.AbandonRelease command) {
+        Flight flight = releases.remove(command.id());
         if (flight != null) {
-            flight.channel().loop().execute(flight.call()::cancel);
+            onNetwork(flight.channel(), flight.call()::cancel);
         }
     }
 
-    private void read(Order.Read o) {
+    @Override
+    public void read(Command.Read o) {
         PrefillRequest request = new PrefillRequest(o.name(), o.call().clientId(), edge, o.attempt().number(),
                 o.prompt(), (int) o.promptTokens(), o.call().maxTokens(), o.call().cls());
         fly(o.attempt(), o.engine(), EngineApi.PREFILL, o.call(), o.name(), o.until(), request.bytes(),
                 o.why(), new Reading(o.attempt()));
     }
 
-    private void write(Order.Write o) {
+    @Override
+    public void write(Command.Write o) {
         boolean alone = o.state() == null;
         String readerAddress = alone ? "" : table.address(o.state().engine());
         DecodeRequest request = new DecodeRequest(o.name(), o.call().clientId(), edge, o.attempt().number(),
@@ -180,7 +191,8 @@
                 o.why(), new Writing(o.attempt()));
     }
 
-    private void reserve(Order.Reserve o) {
+    @Override
+    public void reserve(Command.Reserve o) {
         GrpcChannel channel = channel(o.engine());
         if (channel == null) {
             return;
@@ -198,7 +210,7 @@
             }
         });
         call.sendLast(new ReserveRequest(o.name(), (int) o.call().promptTokens(), o.call().maxTokens()).bytes());
-        channel.loop().execute(() -> channel.start(call));
+        onNetwork(channel, () -> channel.start(call));
     }
 
     /** Attempts that are out, for tests and logs; on the router's thread. */
--- a/edge/src/main/java/sorrelhoist/edge/PlannerLink.java
+++ b/edge/src/main/java/sorrelhoist/edge/PlannerLink.java
@@ -11,7 +11,8 @@
 import sorrelhoist.Routing.Outcome;
 import sorrelhoist.Routing.ServerState;
 import sorrelhoist.core.know.LearnPlan;
-import sorrelhoist.core.life.Order;
+import sorrelhoist.core.life.Command;
+import sorrelhoist.core.life.PlannerCommands;
 import sorrelhoist.core.members.EngineTable;
 import sorrelhoist.core.time.Backoff;
 import sorrelhoist.protocol.grpc.ClientCall;
@@ -28,7 +29,7 @@
 import sorrelhoist.protocol.protobuf.ProtoException;
 
 /** The edge's stream to its planner. While there is none, the edge goes on with what it was last told. */
-final class PlannerLink implements ClientCall.Listener {
+final class PlannerLink implements ClientCall.Listener, PlannerCommands {
     private static final Logger LOG = LoggerFactory.getLogger(PlannerLink.class);
     private static final long FIRST_WAIT = 50_000;
     private static final long LONGEST_WAIT = 1_000_000;
@@ -79,18 +80,27 @@
         });
     }
 
-    /** Carries out an order, where it is one for the planner. */
-    void carry(Order order) {
-        EdgeMessage message = order instanceof Order.Probe o ? new EdgeMessage.ProbeAsk(o.engine())
-                : order instanceof Order.Tell o ? new EdgeMessage.Tell(o.to(), o.body())
-                : order instanceof Order.FetchRoster ? new EdgeMessage.FetchAsk() : null;
-        if (message != null) {
-            channel.loop().execute(() -> {
-                if (call != null && call.isSent() && !call.isClosed()) {
-                    call.send(message.bytes());
-                }
-            });
-        }
+    @Override
+    public void probe(Command.Probe command) {
+        send(new EdgeMessage.ProbeAsk(command.engine()));
+    }
+
+    @Override
+    public void tell(Command.Tell command) {
+        send(new EdgeMessage.Tell(command.to(), command.body()));
+    }
+
+    @Override
+    public void fetchRoster(Command.FetchRoster command) {
+        send(new EdgeMessage.FetchAsk());
+    }
+
+    private void send(EdgeMessage message) {
+        channel.loop().execute(() -> {
+            if (call != null && call.isSent() && !call.isClosed()) {
+                call.send(message.bytes());
+            }
+        });
     }
 
     @Override
--- a/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
+++ b/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
@@ -16,14 +16,17 @@
 import sorrelhoist.Routing.Server;
 import sorrelhoist.Routing.ServerState;
 import sorrelhoist.core.life.Call;
-import sorrelhoist.core.life.Order;
+import sorrelhoist.core.life.Command;
+import sorrelhoist.core.life.CommandHandler;
+import sorrelhoist.core.life.EngineCommands;
+import sorrelhoist.core.life.PlannerCommands;
 import sorrelhoist.core.life.Router;
 import sorrelhoist.core.life.RouterSettings;
 import sorrelhoist.core.record.Tap;
 import sorrelhoist.core.sched.Background;
 
 /**
- * The one thread on which a router decides, fed by a queue. Network threads hand in what they parsed; orders go back
+ * The one thread on which a router decides, fed by a queue. Network threads hand in what they parsed; commands go back
  * to them. It decides nothing itself.
  */
 final class RouterLoop {
@@ -40,7 +43,7 @@
     private final Map<Long, Client> clients = new HashMap<>();
     private final Map<Client, Long> numbers = new HashMap<>();
     private final Map<String, Boolean> serving = new ConcurrentHashMap<>();
-    private Consumer<Order> engines = o -> { };
+    private Commands commands;
     private Client arriving;
     private final Background background = new Background(BACKGROUND_CPU, clock.now());
     private final Map<Background.Job, LongUnaryOperator> jobs = new HashMap<>();
@@ -53,9 +56,9 @@
         this.router = new Router(settings, this::carry, tap);
     }
 
-    /** Sets who takes the orders that are not for clients; once, before anything else. */
-    void engines(Consumer<Order> carrier) {
-        engines = carrier;
+    /** Sets who carries out what does not concern clients; once, before anything else. */
+    void connect(EngineCommands engines, PlannerCommands planner) {
+        commands = new Commands(engines, planner);
     }
 
     long now() {
@@ -204,25 +207,98 @@
         }
     }
 
-    private void carry(Order order) {
-        if (order instanceof Order.Deliver o) {
-            Client client = clients.get(o.client());
+    private void carry(Command command) {
+        command.accept(commands);
+    }
+
+    /** Carries out what concerns clients, and hands the rest to those who do. */
+    private final class Commands implements CommandHandler {
+        private final EngineCommands engines;
+        private final PlannerCommands planner;
+
+        Commands(EngineCommands engines, PlannerCommands planner) {
+            this.engines = engines;
+            this.planner = planner;
+        }
+
+        @Override
+        public void deliver(Command.Deliver command) {
+            Client client = clients.get(command.client());
             if (client != null) {
-                client.token(o.index(), o.text(), (Runnable) o.ticket());
+                client.token(command.index(), command.text(), (Runnable) command.ticket());
             }
-        } else if (order instanceof Order.Finish o) {
-            Client client = clients.remove(o.client());
+        }
+
+        @Override
+        public void finish(Command.Finish command) {
+            Client client = clients.remove(command.client());
             if (client == null) {
                 client = arriving;
                 arriving = null;
             }
             numbers.remove(client);
-            refusals.answered(clock.now(), o.answer());
-            client.finish(o.answer());
-        } else if (order instanceof Order.Log o) {
-            LOG.atInfo().addKeyValue("event", "decide").addKeyValue("request", o.request()).log(o.text());
-        } else {
-            engines.accept(order);
+            refusals.answered(clock.now(), command.answer());
+            client.finish(command.answer());
+        }
+
+        @Override
+        public void log(Command.Log command) {
+            LOG.atInfo().addKeyValue("event", "decide").addKeyValue("request", command.request()).log(command.text());
+        }
+
+        @Override
+        public void read(Command.Read command) {
+            engines.read(command);
+        }
+
+        @Override
+        public void write(Command.Write command) {
+            engines.write(command);
+        }
+
+        @Override
+        public void drop(Command.Drop command) {
+            engines.drop(command);
+        }
+
+        @Override
+        public void reserve(Command.Reserve command) {
+            engines.reserve(command);
+        }
+
+        @Override
+        public void release(Command.Release command) {
+            engines.release(command);
+        }
+
+        @Override
+        public void abandonRelease(Command.AbandonRelease command) {
+            engines.abandonRelease(command);
+        }
+
+        @Override
+        public void releaseExpired(Command.ReleaseExpired command) {
+            engines.releaseExpired(command);
+        }
+
+        @Override
+        public void closeIdle(Command.CloseIdle command) {
+            engines.closeIdle(command);
+        }
+
+        @Override
+        public void probe(Command.Probe command) {
+            planner.probe(command);
+        }
+
+        @Override
+        public void tell(Command.Tell command) {
+            planner.tell(command);
+        }
+
+        @Override
+        public void fetchRoster(Command.FetchRoster command) {
+            planner.fetchRoster(command);
         }
     }
 
--- a/lab/src/main/java/sorrelhoist/lab/sim/DoorStudy.java
+++ b/lab/src/main/java/sorrelhoist/lab/sim/DoorStudy.java
@@ -17,7 +17,7 @@
 import sorrelhoist.core.life.Answer;
 import sorrelhoist.core.life.AttemptId;
 import sorrelhoist.core.life.Call;
-import sorrelhoist.core.life.Order;
+import sorrelhoist.core.life.Command;
 import sorrelhoist.core.life.Router;
 import sorrelhoist.core.life.RouterSettings;
 
@@ -176,8 +176,8 @@
             routers.forEach(r -> r.members(world.now, ListForm.UPDATE, news));
         }
 
-        private void carry(Router router, int edge, Order order) {
-            if (order instanceof Order.Read o) {
+        private void carry(Router router, int edge, Command order) {
+            if (order instanceof Command.Read o) {
                 StepEngine e = engines.get(o.engine());
                 long have = Math.min(o.promptTokens(), Math.max(e.texts.kept(o.call().session()), e.texts.kept(o.call().prefix())));
                 String state = "x" + names++;
@@ -190,26 +190,26 @@
                         later(edge, HOP, r -> r.attemptLost(world.now, o.attempt(), Outcome.FULL, 0, Load.NONE));
                     }
                 });
-            } else if (order instanceof Order.Write o) {
+            } else if (order instanceof Command.Write o) {
                 StepEngine e = engines.get(o.engine());
                 if (e.dead) {
                     later(edge, HOP, r -> r.attemptLost(world.now, o.attempt(), Outcome.CONNECT_FAILED, 0, Load.NONE));
                     return;
                 }
                 world.in(2 * HOP, () -> write(edge, e, o));
-            } else if (order instanceof Order.Drop o) {
+            } else if (order instanceof Command.Drop o) {
                 StepEngine.Write w = running.remove(o.attempt());
                 if (w != null) {
                     w.dropped = true;
                 }
-            } else if (order instanceof Order.Deliver o && o.index() == 0) {
+            } else if (order instanceof Command.Deliver o && o.index() == 0) {
                 first(edge, o.client());
-            } else if (order instanceof Order.Finish o) {
+            } else if (order instanceof Command.Finish o) {
                 finish(edge, o);
             }
         }
 
-        private void write(int edge, StepEngine e, Order.Write o) {
+        private void write(int edge, StepEngine e, Command.Write o) {
             StepEngine.Write w = e.write(TOKENS - o.fromToken(), i -> later(edge, HOP, r -> {
                 int index = o.fromToken() + i;
                 r.token(world.now, o.attempt(), index, "t", null);
@@ -239,7 +239,7 @@
             }
         }
 
-        private void finish(int edge, Order.Finish o) {
+        private void finish(int edge, Command.Finish o) {
             long[] sent = sentAt.get(edge).put(o.client(), new long[] {-1});
             boolean counted = sent == null ? arriving >= 0 : sent[0] >= 0;
             if (counted && !(o.answer() instanceof Answer.Served)) {
--- a/lab/src/main/java/sorrelhoist/lab/sim/SimFleet.java
+++ b/lab/src/main/java/sorrelhoist/lab/sim/SimFleet.java
@@ -11,7 +11,7 @@
 import sorrelhoist.core.life.Answer;
 import sorrelhoist.core.life.AttemptId;
 import sorrelhoist.core.life.Call;
-import sorrelhoist.core.life.Order;
+import sorrelhoist.core.life.Command;
 import sorrelhoist.core.life.Router;
 import sorrelhoist.core.life.RouterSettings;
 import sorrelhoist.core.time.Alarms;
@@ -204,11 +204,11 @@
         });
     }
 
-    private void carry(Seat seat, int life, Order order) {
+    private void carry(Seat seat, int life, Command order) {
         if (seat.life != life) {
             return;
         }
-        if (order instanceof Order.Read o) {
+        if (order instanceof Command.Read o) {
             Reader r = readers.get(o.engine());
             long at = Math.max(now + HOP, r.busyUntil);
             long kept = Math.max(Math.min(o.promptTokens(), r.texts.kept(o.call().session())), Math.min(
@@ -221,15 +221,15 @@
             r.busyUntil = at + READ_BASE + (long) (missed / READ_PER_MICRO);
             String state = "x" + names++;
             later(seat, life, r.busyUntil + HOP, () -> seat.router.readDone(now, o.attempt(), state, kept, Load.NONE));
-        } else if (order instanceof Order.Write o) {
+        } else if (order instanceof Command.Write o) {
             int busy = writing.merge(o.engine(), 1, Integer::sum);
             long first = now + 2 * HOP + WRITE_BASE + WRITE_EACH * busy;
             world.set(first + TOKENS * TOKEN, () -> writing.merge(o.engine(), -1, Integer::sum));
             token(seat, life, o.attempt(), 0, first);
-        } else if (order instanceof Order.Deliver o && o.index() == 0) {
+        } else if (order instanceof Command.Deliver o && o.index() == 0) {
             seat.tally.served++;
             seat.tally.firstMicros += now - seat.sentAt.getOrDefault(o.client(), pending);
-        } else if (order instanceof Order.Finish o) {
+        } else if (order instanceof Command.Finish o) {
             seat.sentAt.remove(o.client());
             seat.tally.unserved += o.answer() instanceof Answer.Served ? 0 : 1;
         }
