--- a/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
@@ -25,10 +25,13 @@
     /** The attempt that is out. */
     private static final class Attempt {
         final AttemptPurpose purpose;
+        /** Whether nothing wanted the holds until this attempt went out. */
+        final boolean stoppedRelease;
         boolean written;
 
-        Attempt(AttemptPurpose purpose) {
+        Attempt(AttemptPurpose purpose, boolean stoppedRelease) {
             this.purpose = purpose;
+            this.stoppedRelease = stoppedRelease;
         }
     }
 
@@ -63,8 +66,8 @@
     }
 
     void attemptSent(AttemptPurpose purpose) {
+        attempt = new Attempt(purpose, unwanted);
         unwanted = false;
-        attempt = new Attempt(purpose);
     }
 
     void attemptWritten() {
@@ -86,8 +89,15 @@
                 open.needed() && !open.hold().place().isEmpty()));
     }
 
-    /** The attempt ended; where it never reached its engine, the time of what is held has run on. */
+    /**
+     * The attempt ended. Where it never reached its engine, the time of what is held has run on, and a release that had
+     * begun before it goes on.
+     */
     void attemptEnded(boolean reached, long now) {
+        if (attempt != null && attempt.stoppedRelease && !reached) {
+            unwanted = true;
+            callableFrom = Math.min(callableFrom, now);
+        }
         attempt = null;
         idleSince = reached ? now : idleSince;
     }
--- a/core/src/test/java/sorrelhoist/core/reservation/ReservationTableTest.java
+++ b/core/src/test/java/sorrelhoist/core/reservation/ReservationTableTest.java
@@ -127,6 +127,38 @@
         assertEquals(1, calls.size());
     }
 
+    @Test
+    void whatAnAttemptWasToTakeIsReleasedWhenItsConnectionNeverCameUp() {
+        table.readDone(KEY, Hold.ofState("r0", ""), now);
+        table.unwanted(KEY, now);
+        table.attemptSent(KEY, AttemptPurpose.FETCH);
+        table.attemptConnecting(KEY);
+        assertEquals(1, abandoned.size(), "the attempt is to take it");
+        now = 10_000;
+        table.attemptEnded(KEY, false, now);
+        passTo(now);
+        assertEquals(2, calls.size(), "at once, as it was due before");
+        answerLast(true);
+        table.attemptEnded(KEY, false, now);
+        passTo(10 * LIMIT);
+        assertEquals(2, calls.size(), "once");
+        table.attemptEnded(ReservationKey.ofRequest("b"), false, now);
+        assertEquals(2, calls.size());
+    }
+
+    @Test
+    void whatAnAttemptReachedIsItsOwnAndNothingIsKeptOfIt() {
+        table.readDone(KEY, Hold.ofState("r0", ""), now);
+        table.unwanted(KEY, now);
+        table.attemptSent(KEY, AttemptPurpose.FETCH);
+        table.attemptWritten(KEY);
+        table.taken(KEY, now);
+        table.attemptEnded(KEY, true, now);
+        passTo(10 * LIMIT);
+        assertEquals(1, calls.size(), "the one before the attempt");
+        assertEquals(0, table.size());
+    }
+
     @Test
     void anAnswerOfTheWriterBeginsTheTimeAnew() {
         table.readDone(KEY, Hold.ofState("r0", ""), now);
