Add a fault soak of router processes with an oracle that reads traffic alone

Routers run as deploy/platform starts them; workers, discovery, clients and the proxies between are stand-ins in one process.

--- a/app/src/main/java/sorrelhoist/app/Main.java
+++ b/app/src/main/java/sorrelhoist/app/Main.java
@@ -11,6 +11,7 @@
 import sorrelhoist.app.command.MeasureCommand;
 import sorrelhoist.app.command.Programs;
 import sorrelhoist.app.command.RecordCommand;
+import sorrelhoist.app.command.SoakCommand;
 import sorrelhoist.app.command.WireCommand;
 import sorrelhoist.platform.Platform;
 import sorrelhoist.wire.WireHost;
@@ -20,7 +21,8 @@
         description = "Routes requests for language models that are read by one pool of engines and answered by another.",
         subcommands = {Programs.EdgeProgram.class, Programs.PlannerProgram.class, Programs.EngineProgram.class,
             Programs.RegistryProgram.class, ConfigCommand.class, FleetCommands.Demo.class, FleetCommands.Up.class,
-            FleetCommands.AskCommand.class, FleetCommands.DayCommand.class, MeasureCommand.class, RecordCommand.class,
+            FleetCommands.AskCommand.class, FleetCommands.DayCommand.class, MeasureCommand.class, SoakCommand.class,
+            RecordCommand.class,
             Main.Wirehost.class, Main.PlatformProgram.class})
 public final class Main {
     private Main() {
--- /dev/null
+++ b/lab/src/main/java/sorrelhoist/lab/soak/DiscoveryStandIn.java
@@ -0,0 +1,193 @@
+package sorrelhoist.lab.soak;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import sorrelhoist.lab.soak.WorkerEntry.State;
+import sorrelhoist.protocol.http1.HttpHead;
+import sorrelhoist.protocol.http1.HttpHeadParser;
+import sorrelhoist.protocol.http1.HttpParser;
+import sorrelhoist.protocol.net.Net;
+
+/** Discovery's agent beside one router: a list of workers, and watches that stay open. It can fall silent in many ways. */
+final class DiscoveryStandIn {
+    private static final long HEARTBEAT_MILLIS = 2000;
+    private static final int PARTS = 5;
+    private static final long PART_MILLIS = 300;
+    private final EventLoop loop;
+    private final Map<String, WorkerEntry> entries = new LinkedHashMap<>();
+    private final Map<String, Long> changedIn = new LinkedHashMap<>();
+    private final Set<Watch> watches = new HashSet<>();
+    private volatile Channel listener;
+    private int port;
+    private long version = 1;
+    private boolean silent;
+    private boolean slow;
+
+    DiscoveryStandIn(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    void start() throws IOException {
+        listener = Net.listen(loop, port, Watch::new);
+        port = Net.port(listener);
+        if (watches.isEmpty()) {
+            loop.schedule(this::heartbeat, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    String address() {
+        return Net.LOOPBACK + ":" + port;
+    }
+
+    /** {@return whether a change that is made now is written to a watch at once} */
+    boolean isHeard() {
+        return listener != null && !silent && !slow && watches.stream().anyMatch(w -> w.listed && !w.muted);
+    }
+
+    List<WorkerEntry> list() {
+        return entries.values().stream().filter(e -> e.state() != State.LEFT).toList();
+    }
+
+    /** Tells a change of one worker. */
+    void change(WorkerEntry entry) {
+        version++;
+        entries.put(entry.uid(), entry);
+        changedIn.put(entry.uid(), version);
+        watches.stream().filter(w -> w.listed).forEach(w -> w.say(json(false, List.of(entry))));
+    }
+
+    /** Lets the watches that are open now hear nothing any more; new ones work. */
+    void muteOpenWatches() {
+        watches.forEach(w -> w.muted = true);
+    }
+
+    /** Says nothing at all, to anybody, until it is called off. */
+    void silent(boolean on) {
+        silent = on;
+        if (!on) {
+            List.copyOf(watches).forEach(Watch::reset);
+        }
+    }
+
+    /** Writes whole lists in slow parts from now on, or at once again. */
+    void slow(boolean on) {
+        slow = on;
+    }
+
+    /** Is down: connections are reset and refused. */
+    void stop() {
+        if (listener != null) {
+            listener.close();
+            listener = null;
+        }
+        List.copyOf(watches).forEach(Watch::reset);
+    }
+
+    /** Comes back as another process that counts its versions from the start. */
+    void renumber() {
+        List.copyOf(watches).forEach(Watch::reset);
+        version = 1;
+        changedIn.replaceAll((uid, before) -> 1L);
+    }
+
+    private void heartbeat() {
+        watches.stream().filter(w -> w.listed).forEach(w -> w.say("\n"));
+        loop.schedule(this::heartbeat, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private String json(boolean all, List<WorkerEntry> some) {
+        ObjectNode json = JsonNodeFactory.instance.objectNode().put("rev", version).put("all", all);
+        ArrayNode targets = json.putArray("targets");
+        some.forEach(entry -> targets.add(entry.json()));
+        return json + "\n";
+    }
+
+    /** One watch. */
+    private final class Watch extends ChannelInboundHandlerAdapter {
+        private final HttpHeadParser heads = new HttpHeadParser(true, 16 << 10);
+        private final ByteBuf held = Unpooled.buffer();
+        private ChannelHandlerContext ctx;
+        private boolean listed;
+        private boolean muted;
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            ctx = context;
+            watches.add(this);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) throws HttpParser.BadMessage {
+            ByteBuf in = (ByteBuf) message;
+            held.writeBytes(in);
+            in.release();
+            HttpHead head = listed || silent ? null : heads.next(held);
+            if (head == null) {
+                return;
+            }
+            long from = Long.parseLong(head.target().replaceAll(".*from=([0-9]+).*", "$1"));
+            raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            String list = from >= 1 && from <= version ? json(false, entries.values().stream()
+                    .filter(e -> changedIn.getOrDefault(e.uid(), 0L) > from).toList()) : json(true, list());
+            if (slow) {
+                inParts(list, 0);
+            } else {
+                listed = true;
+                say(list);
+            }
+        }
+
+        private void inParts(String list, int part) {
+            int size = list.length() / PARTS + 1;
+            say(list.substring(Math.min(list.length(), part * size), Math.min(list.length(), (part + 1) * size)));
+            if (part + 1 < PARTS) {
+                loop.schedule(() -> inParts(list, part + 1), PART_MILLIS, TimeUnit.MILLISECONDS);
+            } else {
+                listed = true;
+                say(json(true, list()));
+            }
+        }
+
+        void say(String text) {
+            if (!muted && !silent && !text.isEmpty()) {
+                raw(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+            }
+        }
+
+        private void raw(String text) {
+            ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+        }
+
+        void reset() {
+            ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+            ctx.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            watches.remove(this);
+            held.release();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
