Survive moments without descriptors, failing accepts and errors in handlers

Cause, seen on a real process with failing system calls: (1) Bootstrap.connect hands out a FailedChannel where there is no socket, and WorkerConnection.fail closed it before it told the outcome; its close throws, so an attempt was lost until its cut. Net.connect now makes the channel itself and gives a Connecting, whose failure is told once, on the loop. (2) Netty's acceptor stops for a second after any failed accept; AcceptErrors pauses for 20 ms.

--- a/core/src/main/java/sorrelhoist/core/life/Router.java
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -679,7 +679,7 @@
      * middle is thrown at the end: it concerns one request, and the others' actions are not to be lost with it.
      */
     private void drain() {
-        RuntimeException failure = null;
+        Throwable failure = null;
         for (Event event = events.poll(); event != null; event = events.poll()) {
             try {
                 List<Action> actions = decide.on(now, event);
@@ -687,22 +687,24 @@
                 for (Action action : actions) {
                     failure = performed(action, failure);
                 }
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 failure = failure == null ? e : failure;
             }
         }
         lives.sweep();
-        if (failure != null) {
-            throw failure;
+        if (failure instanceof Error error) {
+            throw error;
+        } else if (failure instanceof RuntimeException exception) {
+            throw exception;
         }
     }
 
     /** {@return the first failure so far, or null} */
-    private RuntimeException performed(Action action, RuntimeException before) {
+    private Throwable performed(Action action, Throwable before) {
         try {
             perform(action);
             return before;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             return before == null ? e : before;
         }
     }
--- a/lab/src/main/java/sorrelhoist/lab/soak/FaultProxy.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/FaultProxy.java
@@ -11,7 +11,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import sorrelhoist.protocol.net.Net;
 
 /** The network between one router and one worker: passes bytes on, falls silent, or resets what is open. */
@@ -79,16 +78,7 @@
                 return;
             }
             Net.connect(loop, Net.LOOPBACK + ":" + worker.port(), CONNECT_MICROS, new Back(this))
-                    .addListener((ChannelFutureListener) f -> {
-                        if (!f.isSuccess()) {
-                            reset();
-                        } else if (!frozen) {
-                            far = f.channel();
-                            near.config().setAutoRead(true);
-                        } else {
-                            far = f.channel();
-                        }
-                    });
+                    .onFailure(why -> reset());
         }
 
         @Override
@@ -96,6 +86,15 @@
             far.writeAndFlush(message);
         }
 
+        private void connected(Channel channel) {
+            far = channel;
+            if (!near.isActive()) {
+                far.close();
+            } else if (!frozen) {
+                near.config().setAutoRead(true);
+            }
+        }
+
         void freeze() {
             frozen = true;
             near.config().setAutoRead(false);
@@ -123,12 +122,6 @@
             links.remove(this);
             if (far != null && far.isActive()) {
                 far.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
-            } else if (far == null) {
-                loop.schedule(() -> {
-                    if (far != null) {
-                        far.close();
-                    }
-                }, CONNECT_MICROS, TimeUnit.MICROSECONDS);
             }
         }
 
@@ -146,6 +139,11 @@
             this.link = link;
         }
 
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            link.connected(ctx.channel());
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             link.near.writeAndFlush(message);
--- a/protocol/src/main/java/sorrelhoist/protocol/grpc/GrpcChannel.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/grpc/GrpcChannel.java
@@ -1,6 +1,5 @@
 package sorrelhoist.protocol.grpc;
 
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -9,6 +8,7 @@
 import sorrelhoist.protocol.http2.ErrorCode;
 import sorrelhoist.protocol.http2.Http2Connection;
 import sorrelhoist.protocol.http2.Http2Limits;
+import sorrelhoist.protocol.net.Connecting;
 import sorrelhoist.protocol.net.Net;
 
 /**
@@ -105,16 +105,12 @@
         }
         Http2Connection connection = Http2Connection.client(options.limits(), this);
         dialing.add(connection);
-        ChannelFuture attempt = Net.connect(loop, address, options.dialMicros(), connection);
-        attempt.addListener(f -> {
-            if (!f.isSuccess()) {
-                dialFailed(connection, "cannot connect to " + address + ": " + f.cause().getMessage());
-            }
-        });
+        Connecting attempt = Net.connect(loop, address, options.dialMicros(), connection)
+                .onFailure(why -> dialFailed(connection, "cannot connect to " + address + ": " + why.getMessage()));
         loop.schedule(() -> {
             if (dialing.contains(connection)) {
                 dialFailed(connection, address + " accepted no HTTP/2 connection in time");
-                attempt.channel().close();
+                attempt.close();
             }
         }, options.dialMicros(), TimeUnit.MICROSECONDS);
     }
--- a/protocol/src/main/java/sorrelhoist/protocol/http1/HttpClient.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/http1/HttpClient.java
@@ -38,15 +38,11 @@
     public CompletableFuture<HttpMessage> send(HttpMessage request, long timeoutMicros) {
         CompletableFuture<HttpMessage> result = new CompletableFuture<>();
         var attempt = Net.connect(loop, address, timeoutMicros, new Handler(request, result));
-        attempt.addListener(f -> {
-            if (!f.isSuccess()) {
-                result.completeExceptionally(f.cause());
-            }
-        });
+        attempt.onFailure(result::completeExceptionally);
         loop.schedule(() -> {
             if (result.completeExceptionally(new TimeoutException("no answer from " + address + " in "
                     + timeoutMicros / 1000 + " ms"))) {
-                attempt.channel().close();
+                attempt.close();
             }
         }, timeoutMicros, TimeUnit.MICROSECONDS);
         return result;
--- a/protocol/src/main/java/sorrelhoist/protocol/net/BlockingWaits.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/net/BlockingWaits.java
@@ -6,6 +6,8 @@
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.IoRegistration;
 import io.netty.util.concurrent.ThreadAwareExecutor;
+import io.netty.util.internal.logging.InternalLogger;
+import io.netty.util.internal.logging.InternalLoggerFactory;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -18,6 +20,7 @@
  */
 final class BlockingWaits implements IoHandler {
     private static final long MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final InternalLogger LOGGER = InternalLoggerFactory.getInstance(BlockingWaits.class);
     private final IoHandler handler;
 
     BlockingWaits(IoHandler handler) {
@@ -52,9 +55,15 @@
         return (nanos + MILLISECOND - 1) / MILLISECOND * MILLISECOND;
     }
 
+    /** An error that a handler lets through, such as memory that is used up, would end the thread of the loop. */
     @Override
     public int run(IoHandlerContext context) {
-        return handler.run(new RoundedContext(context));
+        try {
+            return handler.run(new RoundedContext(context));
+        } catch (Error e) {
+            LOGGER.error("an event of a socket could not be handled", e);
+            return 0;
+        }
     }
 
     @Override
--- a/protocol/src/main/java/sorrelhoist/protocol/net/Net.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/net/Net.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
@@ -60,6 +61,7 @@
         ChannelFuture bound = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .handler(new AcceptErrors())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -88,11 +90,18 @@
      * @param handler the connection's handler
      * @return the attempt
      */
-    public static ChannelFuture connect(EventLoop loop, String address, long timeoutMicros, ChannelHandler handler) {
-        return new Bootstrap().group(loop).channel(NioSocketChannel.class)
+    public static Connecting connect(EventLoop loop, String address, long timeoutMicros, ChannelHandler handler) {
+        InetSocketAddress to = parse(address);
+        NioSocketChannel channel;
+        try {
+            channel = new NioSocketChannel();
+        } catch (ChannelException e) {
+            return Connecting.withoutSocket(loop, e);
+        }
+        return Connecting.on(loop, new Bootstrap().group(loop).channelFactory(() -> channel)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, timeoutMicros / 1000))
-                .handler(handler).connect(parse(address));
+                .handler(handler).connect(to));
     }
 
     /**
