--- a/lab/src/main/java/sorrelhoist/lab/soak/FleetTimeline.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/FleetTimeline.java
@@ -11,6 +11,7 @@
     private final Map<String, List<Told>> told = new HashMap<>();
     private final List<Span> harnessLate = new ArrayList<>();
     private final List<Span> crowded = new ArrayList<>();
+    private final Map<String, List<Span>> cutLinks = new HashMap<>();
     private long lastObservedAt = RequestTrace.NEVER;
     final List<RouterLife> lives = new ArrayList<>();
     final List<WorkerStart> starts = new ArrayList<>();
@@ -92,6 +93,15 @@
         crowded.add(new Span(from, to));
     }
 
+    /** Bytes between a router and a worker were lost, or came late. */
+    void linkCut(int router, String worker, long from, long to) {
+        cutLinks.computeIfAbsent(router + "/" + worker, l -> new ArrayList<>()).add(new Span(from, to));
+    }
+
+    boolean wasLinkCut(int router, String worker, long from, long to) {
+        return cutLinks.getOrDefault(router + "/" + worker, List.of()).stream().anyMatch(span -> span.touches(from, to));
+    }
+
     boolean wasCrowded(long from, long to) {
         return crowded.stream().anyMatch(span -> span.touches(from, to));
     }
--- a/lab/src/main/java/sorrelhoist/lab/soak/SoakFleet.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/SoakFleet.java
@@ -256,11 +256,18 @@
         });
     }
 
+    /** Notes that bytes on a link are lost, or late, from now on for so long. */
+    void linkCut(RouterUnit router, WorkerUnit worker, long millis) {
+        long now = System.nanoTime();
+        time.linkCut(router.number, worker.standIn.uid, now, now + TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+
     /** Kills a worker's process: its connections are reset, and new ones refused. */
     void killWorker(WorkerUnit worker) throws Exception {
         run(() -> {
             worker.standIn.kill();
             routers.forEach(r -> r.links.get(worker.index).close());
+            routers.forEach(r -> linkCut(r, worker, 0));
         });
     }
 
--- a/lab/src/main/java/sorrelhoist/lab/soak/TroubleMaker.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/TroubleMaker.java
@@ -1,6 +1,10 @@
 package sorrelhoist.lab.soak;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.StandardOpenOption;
 import java.util.List;
+import java.util.Locale;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -56,6 +60,12 @@
         }
     }
 
+    private void note(String what) throws IOException {
+        String line = String.format(Locale.ROOT, "%.3f %s%n", fleet.time.seconds(System.nanoTime()), what);
+        Files.writeString(fleet.plan.folder().resolve("troubles.log"), line, StandardOpenOption.CREATE,
+                StandardOpenOption.APPEND);
+    }
+
     private void after(long millis, Action action) {
         steps.add(new Step(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis), count++, action));
     }
@@ -64,6 +74,7 @@
         Random random = new Random(t.seed());
         RouterUnit router = fleet.routers.get(random.nextInt(fleet.routers.size()));
         WorkerUnit worker = fleet.workers.get(random.nextInt(fleet.workers.size()));
+        note(t + " router " + router.number() + " worker " + worker.standIn.uid);
         switch (t.kind()) {
             case ROUTER_TERM -> term(router);
             case ROUTER_KILL -> kill(router);
@@ -86,7 +97,10 @@
             case WORKER_DRAINS -> replace(worker, t.lastsMillis(), true);
             case WORKER_MISBEHAVES -> misbehave(worker, t, random);
             case LINK_SILENT -> link(router, worker, t.lastsMillis(), random.nextBoolean());
-            case LINK_RESET -> fleet.run(() -> router.links.forEach(FaultProxy::reset));
+            case LINK_RESET -> fleet.run(() -> {
+                router.links.forEach(FaultProxy::reset);
+                fleet.workers.forEach(w -> fleet.linkCut(router, w, 0));
+            });
             case CLIENTS_IDLE_CROWD -> crowd(router, t, 150 + random.nextInt(200), true);
             case CLIENTS_BAD_CROWD -> crowd(router, t, 10 + random.nextInt(40), false);
             case CLIENTS_BURST -> {
@@ -228,6 +242,11 @@
         List<FaultProxy> cut = all ? List.copyOf(router.links.subList(0, router.links.size() / 2))
                 : List.of(router.links.get(worker.index));
         fleet.run(() -> cut.forEach(link -> link.silent(true)));
+        for (WorkerUnit w : fleet.workers) {
+            if (cut.contains(router.links.get(w.index))) {
+                fleet.run(() -> fleet.linkCut(router, w, millis));
+            }
+        }
         after(millis, () -> fleet.run(() -> cut.forEach(link -> link.silent(false))));
     }
 
@@ -246,7 +265,7 @@
         });
     }
 
-    private void systemCalls(RouterUnit router, Random random) {
+    private void systemCalls(RouterUnit router, Random random) throws IOException {
         SystemCallFaults faults = router.process.faults();
         if (faults == null) {
             return;
@@ -255,6 +274,7 @@
             SystemCall.WRITE, SystemCall.EPOLL_WAIT};
         SystemCall call = calls[random.nextInt(calls.length)];
         int every = 1 + random.nextInt(4);
+        note("  " + call + ", each " + every);
         if (call == SystemCall.READ || call == SystemCall.WRITE) {
             faults.shorten(call, every);
         } else {
