--- /dev/null
+++ b/decide/src/test/java/sorrelhoist/SlowStartTest.java
@@ -0,0 +1,101 @@
+package sorrelhoist;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static sorrelhoist.Fixtures.SECOND;
+import static sorrelhoist.Fixtures.all;
+import static sorrelhoist.Fixtures.ended;
+import static sorrelhoist.Fixtures.fleet;
+import static sorrelhoist.Fixtures.plain;
+import static sorrelhoist.Fixtures.request;
+import static sorrelhoist.Fixtures.with;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import sorrelhoist.Routing.ListForm;
+import sorrelhoist.Routing.Members;
+import sorrelhoist.Routing.Outcome;
+import sorrelhoist.Routing.Send;
+import sorrelhoist.Routing.Server;
+import sorrelhoist.Routing.ServerState;
+
+/** A server that starts anew gets little, whatever the clocks of its machine and of the router's were set to. */
+class SlowStartTest {
+    private static final long HOUR = 3600 * SECOND;
+    private static final long COLD = 12 * SECOND;
+    private static final long WINDOW = 3 * SECOND;
+    private static final int MOST_COLD = 4; // as aColdServerIsNotPushedOver in DecideTest has it
+    private static final int ASKED = 30;
+    private final Decide decide = new Decide(plain(), 1);
+    private long now = 100 * HOUR;
+    private long ids;
+
+    private void told(ListForm form, long r1Since) {
+        List<Server> servers = fleet().stream().map(s -> s.id().equals("r1")
+                ? with(s, ServerState.SERVING, r1Since) : s).toList();
+        decide.on(now, new Members(form, form == ListForm.UPDATE ? servers.subList(0, 1) : servers));
+    }
+
+    /** {@return how many of some requests over one window go to r1} */
+    private int sentInAWindow() {
+        int sent = 0;
+        for (int i = 0; i < ASKED; i++) {
+            now += WINDOW / ASKED;
+            for (Send read : all(decide.on(now, request(++ids, "s" + ids, null, 1000, 0)), Send.class)) {
+                sent += read.server().equals("r1") ? 1 : 0;
+                for (Send write : all(decide.on(now, ended(read, 0, Outcome.READ, 40_000, 0)), Send.class)) {
+                    decide.on(now, ended(write, 1, Outcome.DONE, 40_000, 0));
+                }
+            }
+        }
+        return sent;
+    }
+
+    /** The machine's clock stood so many seconds off, to either side, when its server started anew. */
+    @ParameterizedTest
+    @ValueSource(longs = {-3600, -60, -13, 0, 13, 3600})
+    void aRestartIsNoticedAndColdWhicheverWayTheClockWasStepped(long stepSeconds) {
+        told(ListForm.COMPLETE, now - 2 * HOUR);
+        sentInAWindow();
+        told(ListForm.UPDATE, now + stepSeconds * SECOND);
+        int sent = sentInAWindow();
+        assertTrue(sent <= MOST_COLD, "sent " + sent);
+    }
+
+    /** By its own clock it started before its former start. */
+    @Test
+    void aRestartIsNoticedWhereItsToldStartLiesBeforeTheFormerOne() {
+        told(ListForm.COMPLETE, now - 2 * HOUR);
+        sentInAWindow();
+        told(ListForm.UPDATE, now - 3 * HOUR);
+        int sent = sentInAWindow();
+        assertTrue(sent <= MOST_COLD, "sent " + sent);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {3600, 1_000_000_000, Long.MAX_VALUE / 2_000_000})
+    void noServerIsHeldColdForLongerThanTheRulesSay(long stepSeconds) {
+        told(ListForm.COMPLETE, now + stepSeconds * SECOND);
+        assertTrue(sentInAWindow() <= MOST_COLD, "cold where its start is told to come");
+        now += COLD;
+        assertTrue(sentInAWindow() > MOST_COLD, "warm after the time of the rules");
+    }
+
+    @Test
+    void aListToldAgainIsNoRestart() {
+        told(ListForm.COMPLETE, now - 2 * HOUR);
+        long since = now - 2 * HOUR;
+        int before = sentInAWindow();
+        decide.on(now, new Members(ListForm.COMPLETE, List.of()));
+        now += HOUR;
+        told(ListForm.COMPLETE, since);
+        assertTrue(before > MOST_COLD && sentInAWindow() > MOST_COLD, "the same process, seen again, is warm");
+    }
+
+    @Test
+    void aRouterThatStartsTakesTheAgesOfItsFirstListAsTheyAreTold() {
+        told(ListForm.COMPLETE, now - COLD - SECOND);
+        assertTrue(sentInAWindow() > MOST_COLD);
+    }
+}
