Compare workers' starts for being equal alone, in a SlowStart of its own

Cause: Decide.members took a later start alone for a restart (s.since() > p.since), and coldAllows set the router's clock against the worker's. Both are wall clocks of other moments; PlatformLoop.now() is the wall clock at its start. SlowStart holds the rule: another start is another process, cold from when this router hears of it; told ages count in the first list alone, and not ahead of now.

--- a/decide/src/main/java/sorrelhoist/Decide.java
+++ b/decide/src/main/java/sorrelhoist/Decide.java
@@ -65,9 +65,6 @@
     private static final double WRITER_JAM = 200_000; // a writer's lag behind the best that passes it over
     private static final long HOLD_STEP = 20_000; // between looks for a writer while a state waits
     private static final double HOLD_SHARE = 0.5; // of the release limit for that; the rest is for ticks
-    private static final int SERVED_WINDOWS = 4; // of the cold rule, over which what was served is counted
-    private static final double COLD_SAFETY = 0.8; // of what the rule would bear: others' sends are unseen
-    private static final double COLD_TURNS = 0.5; // a router's turns at a cold server, knowing nothing
     private static final double DOOR = 1; // of the aim that a request may need: beyond it, it is refused
     private static final double RESUMED_DOOR = 0.5; // of the time left, where an answer has begun already
     private static final double DOOR_FOR_LESS = 0.85; // where a class of more worth needs the room
@@ -89,6 +86,7 @@
     private final Map<Role, List<Peer>> serving = new EnumMap<>(Role.class);
     private final Map<Integer, Double> spill = new TreeMap<>();
     private final Map<Integer, Felt> links = new TreeMap<>();
+    private final SlowStart slowStart = new SlowStart();
     private final List<Line> readLines = new ArrayList<>();
     private final List<Line> paces = new ArrayList<>();
     private final Line firstTokens = new Line(FIT_DECAY, FIRST_LINE);
@@ -104,7 +102,6 @@
     private double bytes;
     private final Map<String, Peer> byTag = new TreeMap<>();
     private final Map<String, News.Item> news = new LinkedHashMap<>();
-    private final double[] mostServed = new double[Role.values().length];
     private double gap = DENSE_GAP;
     private long arrivedAt;
     private int waiting;
@@ -189,12 +186,7 @@
             // A silent one is told of while attempts are out: until they are cut, others send there.
             all.stream().filter(p -> overdue(p) >= 4 * TELL_LAG && overdue(p) % (4 * TELL_LAG) < TICK)
                     .forEach(p -> tell(p, News.LAG, 0, (long) overdue(p) / 1000));
-            long window = settings.rules().fallMicros();
-            double served = all.stream().mapToLong(p -> p.servedSince(now - SERVED_WINDOWS * window)).sum();
-            double passed = Math.min(SERVED_WINDOWS, (now - startedAt) / (double) window);
-            double chance = 2 * Math.sqrt(served / settings.routers()); // evens out over the routers
-            double sure = (served - chance) / Math.max(1, passed) / Math.max(1, all.size());
-            mostServed[role.ordinal()] = Math.max(mostServed[role.ordinal()], sure);
+            slowStart.measure(role, all, settings, now, now - startedAt);
         }
         var old = keys.entrySet().iterator();
         while (old.hasNext() && (old.next().getValue().used <= now - KEY_AGE || keys.size() > MAX_KEYS)) {
@@ -952,7 +944,8 @@
         }
         for (Server s : e.servers()) {
             Peer p = peers.get(s.id());
-            if (p == null || s.since() > p.since) {
+            boolean restarted = slowStart.hear(s.id(), s.since(), now);
+            if (p == null || restarted) {
                 // A restart cleared what the server kept, and whatever ailed it.
                 keys.values().forEach(k -> k.holders.remove(s.id()));
                 p = new Peer(s.id());
@@ -960,6 +953,9 @@
             }
             p.take(s);
         }
+        if (e.form() != ListForm.RESTORED) {
+            slowStart.listed();
+        }
         // Those that left for good would fill the tables; one sent to lately may be back.
         peers.values().removeIf(p -> p.state == ServerState.GONE && p.out + p.sentSince(now - KEY_AGE) == 0);
         for (Role role : Role.values()) {
@@ -1058,26 +1054,8 @@
                 || r.cls.repeat() == Repeat.KEYED && r.cls.scope() == Scope.ALL;
     }
 
-    /**
-     * A cold server's capacity is not told. A warm one can do at least the most that this router has had
-     * served by its role's servers in the mean, less what chance adds to a small count. All routers granting
-     * that part of theirs, the sum stays under the rule's multiple. A part under one is drawn for: in each
-     * window so many routers may send one that, at twice the mean sends to a server of the role (placement
-     * lets loads lie no further apart), their sum is that of the parts. All draw the same without a word.
-     */
     private boolean coldAllows(Peer p) {
-        Rules rules = settings.rules();
         Role role = settings.kinds().get(p.kind).role();
-        double most = mostServed[role.ordinal()];
-        double bearable = COLD_SAFETY * rules.fallMultiple() * rules.coldFrom() * most;
-        boolean warm = p.since <= 0 || now - p.since >= rules.coldMicros();
-        if (warm || bearable >= 1) {
-            return warm || p.sentSince(now - rules.fallMicros()) + 1 <= bearable;
-        }
-        double mean = Math.max(most, rules.fallMicros() / gap / serving.get(role).size());
-        double share = Math.max(bearable / SHIFT_THRESHOLD / mean, 1 / COLD_TURNS / settings.routers());
-        long window = now / rules.fallMicros();
-        double draw = (Hash.of(p.id + window, "" + settings.self()) >>> 11) * 0x1p-53;
-        return draw < share && p.sentSince(window * rules.fallMicros() - 1) == 0;
+        return slowStart.allows(p, role, settings, gap, serving.get(role).size(), now);
     }
 }
