Count a request's time from when its bytes may have come, not from when they were read

Cause: PlatformLoop.ask gave Router.arrived the time of the turn in which a request was handed over. ReadDelay keeps when the event loop last found ready sockets: what it reads now came after that, or just now where the loop had to wait for it (Netty asks its context shouldReportActiveIoTime after each look, before it handles what is ready). A request keeps the earliest time at which its last bytes can have come, through the queue of tasks and behind a pipelined one; its budget is cut by what is over. Not seen: time in which the whole process was not run while its loop waited.

--- a/protocol/src/main/java/sorrelhoist/protocol/net/BlockingWaits.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/net/BlockingWaits.java
@@ -22,17 +22,29 @@
     private static final long MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
     private static final InternalLogger LOGGER = InternalLoggerFactory.getInstance(BlockingWaits.class);
     private final IoHandler handler;
+    private final ReadDelay readDelay;
 
-    BlockingWaits(IoHandler handler) {
+    BlockingWaits(IoHandler handler, ReadDelay readDelay) {
         this.handler = handler;
+        this.readDelay = readDelay;
     }
 
     /** {@return a factory whose handlers are those of the given factory, without polling} */
     static IoHandlerFactory around(IoHandlerFactory factory) {
+        return around(factory, null);
+    }
+
+    /**
+     * Makes a factory whose handlers are those of another one, without polling.
+     *
+     * @param factory the other one
+     * @param readDelay told of each pass of the loop, where there is only one; or null
+     */
+    static IoHandlerFactory around(IoHandlerFactory factory, ReadDelay readDelay) {
         return new IoHandlerFactory() {
             @Override
             public IoHandler newHandler(ThreadAwareExecutor executor) {
-                return new BlockingWaits(factory.newHandler(executor));
+                return new BlockingWaits(factory.newHandler(executor), readDelay);
             }
 
             @Override
@@ -58,8 +70,11 @@
     /** An error that a handler lets through, such as memory that is used up, would end the thread of the loop. */
     @Override
     public int run(IoHandlerContext context) {
+        if (readDelay != null) {
+            readDelay.looks();
+        }
         try {
-            return handler.run(new RoundedContext(context));
+            return handler.run(new RoundedContext(context, readDelay));
         } catch (Error e) {
             LOGGER.error("an event of a socket could not be handled", e);
             return 0;
@@ -97,7 +112,7 @@
     }
 
     /** The event loop's view of its next timer, rounded up. */
-    private record RoundedContext(IoHandlerContext context) implements IoHandlerContext {
+    private record RoundedContext(IoHandlerContext context, ReadDelay readDelay) implements IoHandlerContext {
         @Override
         public boolean canBlock() {
             return context.canBlock();
@@ -118,8 +133,12 @@
             context.reportActiveIoTime(activeNanos);
         }
 
+        /** A handler asks this when it has found which sockets are ready, before it handles them. */
         @Override
         public boolean shouldReportActiveIoTime() {
+            if (readDelay != null) {
+                readDelay.found();
+            }
             return context.shouldReportActiveIoTime();
         }
     }
--- a/protocol/src/main/java/sorrelhoist/protocol/net/Net.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/net/Net.java
@@ -33,6 +33,18 @@
                 BlockingWaits.around(NioIoHandler.newFactory()));
     }
 
+    /**
+     * Makes one event loop, of a daemon thread, that tells how late it reads.
+     *
+     * @param name of its thread
+     * @param readDelay told of each of its passes
+     * @return a group of that loop alone
+     */
+    public static EventLoopGroup loop(String name, ReadDelay readDelay) {
+        return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory(name, true),
+                BlockingWaits.around(NioIoHandler.newFactory(), readDelay));
+    }
+
     /**
      * Listens on the loopback address.
      *
