--- a/core/src/main/java/sorrelhoist/core/life/ClientCommands.java
+++ b/core/src/main/java/sorrelhoist/core/life/ClientCommands.java
@@ -10,4 +10,7 @@
 
     /** Writes a line. */
     void log(Command.Log command);
+
+    /** Says that what must always hold did not. */
+    void violation(Command.Violation command);
 }
--- a/core/src/main/java/sorrelhoist/core/life/Command.java
+++ b/core/src/main/java/sorrelhoist/core/life/Command.java
@@ -207,4 +207,16 @@
             handler.log(this);
         }
     }
+
+    /**
+     * Says that what must always hold did not.
+     *
+     * @param text the line
+     */
+    record Violation(String text) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.violation(this);
+        }
+    }
 }
--- a/core/src/main/java/sorrelhoist/core/life/Life.java
+++ b/core/src/main/java/sorrelhoist/core/life/Life.java
@@ -1,5 +1,6 @@
 package sorrelhoist.core.life;
 
+import java.util.ArrayDeque;
 import sorrelhoist.core.reservation.ReservationKey;
 
 /** One request's life: its phase, its attempts, what is held for it, and what its client has got. */
@@ -29,6 +30,7 @@
     }
 
     static final long NEVER = Long.MIN_VALUE;
+    private static final int HISTORY = 8;
 
     final long client;
     final Call call;
@@ -61,13 +63,27 @@
         this.endsBy = endsBy;
     }
 
+    /** What happened lately, oldest first: for the log alone. */
+    private final ArrayDeque<Phase.Step> lately = new ArrayDeque<>(HISTORY);
+
     /** Takes a step; where the client has its answer already, what still comes in changes nothing. */
     void step(Phase.Step step) {
+        if (step != lately.peekLast()) {
+            if (lately.size() == HISTORY) {
+                lately.pollFirst();
+            }
+            lately.addLast(step);
+        }
         if (phase != Phase.ENDED) {
             phase = phase.after(step);
         }
     }
 
+    /** {@return what happened lately, written when it is needed} */
+    Object history() {
+        return lately;
+    }
+
     String prompt() {
         return answered.length() == 0 ? call.prompt() : call.prompt() + answered;
     }
--- a/core/src/main/java/sorrelhoist/core/life/Router.java
+++ b/core/src/main/java/sorrelhoist/core/life/Router.java
@@ -11,6 +11,9 @@
 import sorrelhoist.Knowledge;
 import sorrelhoist.Reason;
 import sorrelhoist.Routing.*;
+import sorrelhoist.core.guard.Invariant;
+import sorrelhoist.core.guard.InvariantMonitor;
+import sorrelhoist.core.guard.SendGuard;
 import sorrelhoist.core.record.Entry;
 import sorrelhoist.core.record.Tap;
 import sorrelhoist.core.reservation.Hold;
@@ -30,6 +33,8 @@
 public final class Router {
     private static final long REFUSED_AT_THE_TOP = 500_000; // hint where the router itself is full
     private static final int NAMES = 36;
+    /** A carrier may be held up for so long between its clock and its bytes: a window that ends by then has ended. */
+    private static final long HOLD_UP_MICROS = 150_000;
     /** After a client's time, by which every request that has no first token was answered unless something failed. */
     private static final long OVERDUE = 150_000;
 
@@ -61,6 +66,8 @@
     private final Tap tap;
     private final StreamWatch watch;
     private final Reservations reservations;
+    private final InvariantMonitor monitor;
+    private final SendGuard sendGuard;
     private final Lives lives = new Lives();
     private final Map<String, Integer> kinds = new HashMap<>();
     private final Alarms<Alarm> alarms = new Alarms<>();
@@ -94,6 +101,8 @@
         this.decide = new Decide(settings.decide(), settings.seed());
         this.watch = new StreamWatch(settings);
         this.reservations = new Reservations(settings, carrier);
+        this.monitor = new InvariantMonitor(line -> carrier.accept(new Command.Violation(line)));
+        this.sendGuard = new SendGuard(settings.decide(), monitor);
     }
 
     // ---- What the carrier tells ---------------------------------------------------------------------------
@@ -339,6 +348,27 @@
         }
     }
 
+    /**
+     * Whether an attempt's bytes may go to its engine now. To be asked when the connection stands, right before they are
+     * made: much can have happened while it came up.
+     */
+    public boolean mayWrite(long time, AttemptId id) {
+        at(time);
+        Life life = lives.ofDecide(id.request());
+        Life.Attempt a = Lives.out(life, id);
+        if (a == null) {
+            return monitor.check(false, Invariant.SEND_FOR_OPEN_REQUEST, now, id);
+        }
+        return sendGuard.allows(new SendGuard.Attempt(life.name, id.number(), a.engine, life.history(), !life.finished,
+                life.endsBy, settings.decide().classes().get(life.call.cls()).repeat(),
+                life.mayHaveRunFrom != Life.NEVER, a.read, sendBy(life)), now);
+    }
+
+    /** {@return counts violations of what must always hold} */
+    public InvariantMonitor monitor() {
+        return monitor;
+    }
+
     /** The last byte of an attempt was written to a connection that stands. */
     public void attemptWritten(long time, AttemptId id) {
         at(time);
@@ -390,6 +420,7 @@
             }
         }
         reservations.members(form, servers);
+        sendGuard.listed(form, servers, Math.max(now, time));
         tell(time, new Members(form, servers));
     }
 
@@ -782,7 +813,7 @@
     private long sendBy(Life life) {
         RequestClass cls = settings.decide().classes().get(life.call.cls());
         return life.mayHaveRunFrom == Life.NEVER || cls.repeat() != Repeat.KEYED ? Long.MAX_VALUE
-                : life.mayHaveRunFrom + cls.repeatWindowMicros();
+                : life.mayHaveRunFrom + cls.repeatWindowMicros() - HOLD_UP_MICROS;
     }
 
     private void answer(long id, Phase.Step step, Answer answer) {
--- a/core/src/test/java/sorrelhoist/core/life/RouterTest.java
+++ b/core/src/test/java/sorrelhoist/core/life/RouterTest.java
@@ -348,8 +348,9 @@
         router.readDone(30_000, last(Command.Read.class).attempt(), "s2", 0, Load.NONE);
         Command.Write second = last(Command.Write.class);
         assertNotEquals(first.attempt(), second.attempt());
-        // Sent at 10 ms, when the read had ended; the window of the class is two seconds.
-        assertEquals(10_000 + 2 * Fleet.SECOND, second.sendBy());
+        // Sent at 10 ms, when the read had ended; the window of the class is two seconds, and the carrier may be held up
+        // for 150 ms between its clock and its bytes.
+        assertEquals(10_000 + 2 * Fleet.SECOND - 150_000, second.sendBy());
     }
 
     @Test
--- a/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
+++ b/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
@@ -246,6 +246,11 @@
             LOG.atInfo().addKeyValue("event", "decide").addKeyValue("request", command.request()).log(command.text());
         }
 
+        @Override
+        public void violation(Command.Violation command) {
+            LOG.atWarn().addKeyValue("event", "violation").log(command.text());
+        }
+
         @Override
         public void read(Command.Read command) {
             engines.read(command);
