--- a/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
+++ b/edge/src/main/java/sorrelhoist/edge/RouterLoop.java
@@ -81,7 +81,7 @@
             try {
                 router.advance(clock.now());
                 what.accept(router);
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 // One event that cannot be taken must not end the thread that answers all the others.
                 LOG.atError().setCause(e).addKeyValue("event", "router_fault").log("an event could not be taken");
             }
@@ -166,7 +166,7 @@
             long again = clock.now() + TimeUnit.SECONDS.toMicros(1);
             try {
                 again = jobs.get(slice.job()).applyAsLong(clock.now());
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 LOG.atError().setCause(e).addKeyValue("event", "background_fault").log("{} failed",
                         slice.job().name());
             }
