--- a/app/src/test/java/sorrelhoist/lab/soak/OneRouter.java
+++ b/app/src/test/java/sorrelhoist/lab/soak/OneRouter.java
@@ -72,11 +72,11 @@
                 + "\r\nX-Call-Class: safe\r\nX-Budget-Ms: " + BUDGET_MILLIS + "\r\nX-Call-Info: prompt_len=10,max_out=50\r\n"
                 + "Connection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
                 .getBytes(StandardCharsets.US_ASCII));
-        return new Sent(socket);
+        return new Sent(socket, trace);
     }
 
     /** A request that was sent. */
-    record Sent(Socket socket) {
+    record Sent(Socket socket, RequestTrace trace) {
         /** {@return the status of its answer, read to its end; NOTHING_CAME in its time, or CLOSED} */
         int answer() throws IOException {
             try {
--- a/app/src/test/java/sorrelhoist/lab/soak/SystemCallFaultsTest.java
+++ b/app/src/test/java/sorrelhoist/lab/soak/SystemCallFaultsTest.java
@@ -21,6 +21,8 @@
 class SystemCallFaultsTest {
     private static final long WHOLE_AGAIN_MILLIS = 500;
     private static final long AT_ONCE_MILLIS = 1000;
+    private static final long WAITED_MILLIS = 700;
+    private static final long SLACK_MILLIS = 150;
     private static final int FEW = 3;
     @TempDir
     private Path folder;
@@ -105,6 +107,22 @@
         }
     }
 
+    @Test
+    void timeThatAConnectionWaitedToBeAcceptedIsNotLeftToItsWorkers() throws Exception {
+        faults.fail(SystemCall.ACCEPT, Errno.EMFILE, 1);
+        try (Socket waiting = one.connect()) {
+            long sentAt = System.nanoTime();
+            OneRouter.Sent sent = one.send(waiting, 0);
+            awaitFailures(SystemCall.ACCEPT);
+            Thread.sleep(WAITED_MILLIS);
+            faults.heal(SystemCall.ACCEPT);
+            assertEquals(200, sent.answer());
+            RequestTrace.AttemptTrace write = one.fleet.call(() -> sent.trace().attempts.get(1));
+            long left = OneRouter.BUDGET_MILLIS - TimeUnit.NANOSECONDS.toMillis(write.arrivedAt - sentAt);
+            assertTrue(write.toldMillis <= left + SLACK_MILLIS, "told " + write.toldMillis + " of " + left + " ms");
+        }
+    }
+
     @Test
     void interruptedWaitsAndShortReadsAndWritesChangeNothing() throws Exception {
         faults.fail(SystemCall.EPOLL_WAIT, Errno.EINTR, 2);
