--- a/protocol/src/main/java/sorrelhoist/protocol/net/Net.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/net/Net.java
@@ -88,6 +88,11 @@
         return bound.channel();
     }
 
+    /** {@return for how many nanoseconds a connection may have waited because accepting failed; 0 for not at all} */
+    public static long waitedForAccept(Channel accepted) {
+        return AcceptErrors.waitedNanos(accepted);
+    }
+
     /** {@return the port of a listener} */
     public static int port(Channel listener) {
         return ((InetSocketAddress) listener.localAddress()).getPort();
