--- a/lab/src/main/java/sorrelhoist/lab/soak/Invariant.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/Invariant.java
@@ -28,8 +28,6 @@
     READY,
     /** A router lives until it is told to end, and then ends by itself with status 0. */
     ALIVE,
-    /** Descriptors and memory stay within the limits. */
-    LIMITS,
     /** What cannot be served is told so, or closed, in time. */
     BAD_CLIENTS,
     /** Only ids that clients sent reach workers. */
