--- a/core/src/main/java/sorrelhoist/core/explain/ReasonFormatter.java
+++ b/core/src/main/java/sorrelhoist/core/explain/ReasonFormatter.java
@@ -51,6 +51,7 @@
                             ? "this edge holds " + count(why.expected()) + " requests already"
                             : "this edge is about to stop";
             case CLIENT_GONE -> "its client left";
+            case UNCONFIRMED -> "nothing shows that it has reached its engine";
             default -> "nothing is known of why";
         };
     }
--- a/core/src/main/java/sorrelhoist/core/record/EntryTags.java
+++ b/core/src/main/java/sorrelhoist/core/record/EntryTags.java
@@ -32,7 +32,8 @@
                     RoutingEvents.TimerFired.class,
                     RoutingEvents.PeerMessage.class,
                     RoutingEvents.Seated.class,
-                    RoutingEvents.ClientGone.class);
+                    RoutingEvents.ClientGone.class,
+                    RoutingEvents.DeliveryUnconfirmed.class);
 
     static final List<Class<? extends RoutingActions.Action>> ACTIONS =
             List.of(
--- a/core/src/main/java/sorrelhoist/core/record/RecordingAnonymizer.java
+++ b/core/src/main/java/sorrelhoist/core/record/RecordingAnonymizer.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import sorrelhoist.routing.RoutingEvents.Arrived;
 import sorrelhoist.routing.RoutingEvents.AttemptEnded;
+import sorrelhoist.routing.RoutingEvents.DeliveryUnconfirmed;
 import sorrelhoist.routing.RoutingEvents.Event;
 import sorrelhoist.routing.RoutingEvents.Members;
 import sorrelhoist.routing.RoutingEvents.PeerMessage;
@@ -69,6 +70,9 @@
                     started.attempt(),
                     serverName(started.server()),
                     started.tookMicros());
+        } else if (event instanceof DeliveryUnconfirmed unconfirmed) {
+            return new DeliveryUnconfirmed(
+                    unconfirmed.id(), unconfirmed.attempt(), serverName(unconfirmed.server()));
         } else if (event instanceof PlaceAnswered answered) {
             return new PlaceAnswered(answered.id(), serverName(answered.server()), answered.held());
         } else if (event instanceof ProbeAnswered answered) {
--- a/core/src/main/java/sorrelhoist/core/record/RequestIds.java
+++ b/core/src/main/java/sorrelhoist/core/record/RequestIds.java
@@ -12,6 +12,7 @@
 import sorrelhoist.routing.RoutingEvents.Arrived;
 import sorrelhoist.routing.RoutingEvents.AttemptEnded;
 import sorrelhoist.routing.RoutingEvents.ClientGone;
+import sorrelhoist.routing.RoutingEvents.DeliveryUnconfirmed;
 import sorrelhoist.routing.RoutingEvents.Event;
 import sorrelhoist.routing.RoutingEvents.PlaceAnswered;
 import sorrelhoist.routing.RoutingEvents.StreamStarted;
@@ -32,6 +33,8 @@
             return ended.id();
         } else if (event instanceof StreamStarted started) {
             return started.id();
+        } else if (event instanceof DeliveryUnconfirmed unconfirmed) {
+            return unconfirmed.id();
         } else if (event instanceof PlaceAnswered answered) {
             return answered.id();
         } else if (event instanceof TimerFired fired) {
--- a/core/src/main/java/sorrelhoist/core/record/TimelineText.java
+++ b/core/src/main/java/sorrelhoist/core/record/TimelineText.java
@@ -13,6 +13,7 @@
 import sorrelhoist.routing.RoutingEvents.Arrived;
 import sorrelhoist.routing.RoutingEvents.AttemptEnded;
 import sorrelhoist.routing.RoutingEvents.ClientGone;
+import sorrelhoist.routing.RoutingEvents.DeliveryUnconfirmed;
 import sorrelhoist.routing.RoutingEvents.Event;
 import sorrelhoist.routing.RoutingEvents.Outcome;
 import sorrelhoist.routing.RoutingEvents.StreamStarted;
@@ -79,6 +80,10 @@
                     attempt(started.attempt(), started.server())
                             + ": first token after "
                             + millis(started.tookMicros()));
+        } else if (event instanceof DeliveryUnconfirmed unconfirmed) {
+            return Optional.of(
+                    attempt(unconfirmed.attempt(), unconfirmed.server())
+                            + ": nothing shows that it arrived");
         } else if (event instanceof ClientGone) {
             return Optional.of("the client left");
         }
--- a/core/src/main/java/sorrelhoist/core/request/Attempt.java
+++ b/core/src/main/java/sorrelhoist/core/request/Attempt.java
@@ -1,5 +1,7 @@
 package sorrelhoist.core.request;
 
+import sorrelhoist.core.delivery.AttemptDelivery;
+
 /** One send of a request to one engine, until its one outcome. */
 final class Attempt {
     final RequestState request;
@@ -18,8 +20,8 @@
     /** Whether its first token came. */
     boolean streaming;
 
-    /** Whether its last byte was written; transports that cannot tell say nothing: then it was. */
-    boolean written = true;
+    /** What is known of its way to its engine. */
+    final AttemptDelivery delivery;
 
     /** When its latest token came, or its client took tokens again. */
     long lastTokenAt;
@@ -37,5 +39,6 @@
         this.engineKind = engineKind;
         this.prefill = prefill;
         this.sentAt = sentAt;
+        this.delivery = new AttemptDelivery(engine);
     }
 }
--- a/core/src/main/java/sorrelhoist/core/request/AttemptFailures.java
+++ b/core/src/main/java/sorrelhoist/core/request/AttemptFailures.java
@@ -29,7 +29,7 @@
         commands.accept(new Command.CancelAttempt(attempt.id));
         // Nothing can have run where the request was never written: its time was used up by
         // connecting.
-        boolean neverConnected = !attempt.written && outcome == Outcome.TIMED_OUT;
+        boolean neverConnected = !attempt.delivery.isWritten() && outcome == Outcome.TIMED_OUT;
         failed(attempt, neverConnected ? Outcome.CONNECT_FAILED : outcome, 0, ServerLoad.NONE);
     }
 
--- a/core/src/main/java/sorrelhoist/core/request/AttemptTracker.java
+++ b/core/src/main/java/sorrelhoist/core/request/AttemptTracker.java
@@ -11,13 +11,19 @@
     private final RouterClock clock;
     private final DecisionLoop decisions;
     private final RequestReservations reservations;
+    private final AttemptDeliveries deliveries;
     private long sends;
     private long outcomes;
 
-    AttemptTracker(RouterClock clock, DecisionLoop decisions, RequestReservations reservations) {
+    AttemptTracker(
+            RouterClock clock,
+            DecisionLoop decisions,
+            RequestReservations reservations,
+            AttemptDeliveries deliveries) {
         this.clock = clock;
         this.decisions = decisions;
         this.reservations = reservations;
+        this.deliveries = deliveries;
     }
 
     /** The policy ordered a send. */
@@ -51,13 +57,13 @@
 
     /** The attempt waits for a connection, so nothing of it is written yet. */
     void connecting(Attempt attempt) {
-        attempt.written = false;
+        attempt.delivery.connecting();
         reservations.connecting(attempt.request);
     }
 
     /** The attempt's last byte was written. */
     void written(Attempt attempt) {
-        attempt.written = true;
+        deliveries.written(attempt);
         reservations.written(attempt.request);
     }
 
@@ -73,6 +79,7 @@
     void streamStarted(Attempt attempt) {
         RequestState request = attempt.request;
         attempt.streaming = true;
+        deliveries.answered(attempt);
         request.apply(RequestPhase.Transition.FIRST_TOKEN);
         reservations.taken(request);
         decisions.submitEvent(
@@ -101,7 +108,8 @@
      */
     void ended(Attempt attempt, Outcome outcome, boolean requestOver, long note, ServerLoad load) {
         RequestState request = attempt.request;
-        reservations.attemptEnded(attempt, outcome);
+        boolean givenUp = deliveries.ended(attempt, outcome);
+        reservations.attemptEnded(attempt, outcome, givenUp);
         if (mayHaveRun(attempt, outcome) && request.mayHaveRunFrom == RequestState.NEVER) {
             request.mayHaveRunFrom = attempt.sentAt;
         }
@@ -123,7 +131,7 @@
     /** {@return whether the engine may have begun work that has an effect} */
     private static boolean mayHaveRun(Attempt attempt, Outcome outcome) {
         return !attempt.prefill
-                && attempt.written
+                && attempt.delivery.isWritten()
                 && outcome != Outcome.FULL
                 && outcome != Outcome.CONNECT_FAILED;
     }
--- a/core/src/main/java/sorrelhoist/core/request/Command.java
+++ b/core/src/main/java/sorrelhoist/core/request/Command.java
@@ -1,5 +1,7 @@
 package sorrelhoist.core.request;
 
+import sorrelhoist.core.delivery.AttemptDelivery;
+import sorrelhoist.core.reservation.ReleaseCause;
 import sorrelhoist.routing.Reason;
 
 /** What a {@link Router} has its transport do, in the order in which it is given. */
@@ -149,6 +151,8 @@
      * @param decodeSlot the slot's name; may be empty
      * @param upToAttempt where neither is named: the last attempt whose state is meant, so that a
      *     later prefill at the same engine keeps its own
+     * @param cause why it is sent
+     * @param heldMicros how long what is held has waited
      */
     record ReleaseReservation(
             long releaseId,
@@ -156,7 +160,9 @@
             String engine,
             String prefillState,
             String decodeSlot,
-            int upToAttempt)
+            int upToAttempt,
+            ReleaseCause cause,
+            long heldMicros)
             implements Command {
         @Override
         public void accept(CommandHandler handler) {
@@ -176,6 +182,19 @@
         }
     }
 
+    /**
+     * Ask an engine for a sign of life by a call that changes nothing. Answered by {@link
+     * Router#reachabilityChecked}, and by bytes that come from the engine.
+     *
+     * @param engine which
+     */
+    record CheckReachability(String engine) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.checkReachability(this);
+        }
+    }
+
     /**
      * Report that what a request had reserved was not released in time: no engine answered. It is
      * not tried any longer.
@@ -279,6 +298,30 @@
         }
     }
 
+    /**
+     * Report that an attempt was taken for undelivered, or has arrived although it was.
+     *
+     * @param requestName the request's name at engines
+     * @param attempt number of the send
+     * @param engine where it was sent
+     * @param delivery what is known of its delivery
+     * @param sinceWrittenMicros since its last byte was written
+     * @param history the latest transitions of its request
+     */
+    record ReportDelivery(
+            String requestName,
+            int attempt,
+            String engine,
+            AttemptDelivery.State delivery,
+            long sinceWrittenMicros,
+            String history)
+            implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.reportDelivery(this);
+        }
+    }
+
     /**
      * Report that what must always hold did not.
      *
--- a/core/src/main/java/sorrelhoist/core/request/DecisionLoop.java
+++ b/core/src/main/java/sorrelhoist/core/request/DecisionLoop.java
@@ -33,11 +33,19 @@
     /**
      * Gives the policy all queued events and executes its actions, until nothing is left; executing
      * may queue more. A failure concerns one request, and the actions for others are not to be lost
-     * with it: the rest is carried out first.
-     *
-     * @return the first failure, or null
+     * with it: the rest is carried out first, then the first failure is thrown.
      */
-    Throwable run(Consumer<Action> executor) {
+    void run(Consumer<Action> executor) {
+        Throwable failure = runAll(executor);
+        if (failure instanceof Error error) {
+            throw error;
+        }
+        if (failure instanceof RuntimeException exception) {
+            throw exception;
+        }
+    }
+
+    private Throwable runAll(Consumer<Action> executor) {
         Throwable failure = null;
         for (Event event = events.poll(); event != null; event = events.poll()) {
             try {
--- a/core/src/main/java/sorrelhoist/core/request/EngineCommands.java
+++ b/core/src/main/java/sorrelhoist/core/request/EngineCommands.java
@@ -20,6 +20,12 @@
     /** Stops waiting for a release's answer. */
     void abandonRelease(Command.AbandonRelease command);
 
+    /** Asks an engine for a sign of life. */
+    void checkReachability(Command.CheckReachability command);
+
+    /** Reports that an attempt was taken for undelivered, or has arrived although it was. */
+    void reportDelivery(Command.ReportDelivery command);
+
     /** Reports what no engine has released in time. */
     void reportExpiredRelease(Command.ReportExpiredRelease command);
 
--- a/core/src/main/java/sorrelhoist/core/request/RequestComponents.java
+++ b/core/src/main/java/sorrelhoist/core/request/RequestComponents.java
@@ -1,6 +1,8 @@
 package sorrelhoist.core.request;
 
 import java.util.function.Consumer;
+import sorrelhoist.core.guard.InvariantMonitor;
+import sorrelhoist.core.guard.SendGuard;
 import sorrelhoist.core.record.DecisionListener;
 import sorrelhoist.core.time.TimerQueue;
 import sorrelhoist.routing.RoutingPolicy;
@@ -21,8 +23,11 @@
     final RequestIntake intake;
     final RequestAdmission admission;
     final IdempotencyWindow idempotencyWindow;
+    final AttemptDeliveries deliveries;
     final AttemptTracker attempts;
     final AttemptFailures failures;
+    final InvariantMonitor invariantMonitor;
+    final SendAuthorization sendAuthorization;
 
     RequestComponents(
             RouterSettings settings, Consumer<Command> commands, DecisionListener listener) {
@@ -36,7 +41,8 @@
         intake = new RequestIntake(settings, requests, submitter, timers, clock);
         admission = new RequestAdmission(settings.maxOpenRequests(), requests, responses);
         idempotencyWindow = new IdempotencyWindow(settings.routing().classes());
-        attempts = new AttemptTracker(clock, decisions, reservations);
+        deliveries = new AttemptDeliveries(settings, clock, reservations, decisions, commands);
+        attempts = new AttemptTracker(clock, decisions, reservations, deliveries);
         StreamRecovery recovery =
                 new StreamRecovery(
                         settings,
@@ -47,5 +53,14 @@
                         idempotencyWindow,
                         responses);
         failures = new AttemptFailures(attempts, reservations, recovery, commands);
+        invariantMonitor =
+                new InvariantMonitor(line -> commands.accept(new Command.ReportViolation(line)));
+        sendAuthorization =
+                new SendAuthorization(
+                        requests,
+                        new SendGuard(settings.routing(), invariantMonitor),
+                        invariantMonitor,
+                        idempotencyWindow,
+                        clock);
     }
 }
--- a/core/src/main/java/sorrelhoist/core/request/RequestReservations.java
+++ b/core/src/main/java/sorrelhoist/core/request/RequestReservations.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import sorrelhoist.core.reservation.AttemptPurpose;
 import sorrelhoist.core.reservation.EngineActivity;
 import sorrelhoist.core.reservation.Hold;
 import sorrelhoist.core.reservation.ReleaseCall;
+import sorrelhoist.core.reservation.ReleaseCause;
 import sorrelhoist.core.reservation.ReleaseClient;
 import sorrelhoist.core.reservation.ReleasePolicy;
 import sorrelhoist.core.reservation.ReleaseReach;
@@ -72,7 +74,9 @@
                             call.engine(),
                             hold.prefillState(),
                             hold.decodeSlot(),
-                            hold.upToAttempt()));
+                            hold.upToAttempt(),
+                            call.cause(),
+                            call.heldMicros()));
         }
 
         @Override
@@ -112,6 +116,21 @@
         engines.bytesReceived(engine, clock.now());
     }
 
+    /** {@return whether an engine is on the endpoint list} */
+    boolean isListed(String engine) {
+        return engines.isListed(engine);
+    }
+
+    /** An engine was heard of which a sign of life was awaited. */
+    void awaitedEngineHeard(String engine) {
+        table.engineHeard(engine, clock.now());
+    }
+
+    /** An engine left the list: nothing that was on its way there arrives any more. */
+    void engineRemoved(String engine) {
+        table.engineRemoved(engine);
+    }
+
     // Attempts
 
     /**
@@ -126,7 +145,8 @@
         AttemptPurpose purpose = purposeOf(attempt);
         for (ReservationKey key : keysOf(request)) {
             table.attemptSent(key, purpose);
-            table.attemptWritten(key);
+            // Unless its transport says that it has to be written first.
+            table.attemptDelivered(key);
         }
     }
 
@@ -149,7 +169,20 @@
 
     /** The last byte of the running attempt was written. */
     void written(RequestState request) {
-        keysOf(request).forEach(table::attemptWritten);
+        keysOf(request).forEach(key -> table.attemptWritten(key, clock.now()));
+    }
+
+    /** The running attempt's engine has it. */
+    void delivered(RequestState request) {
+        keysOf(request).forEach(table::attemptDelivered);
+    }
+
+    /** {@return since when something that is held for a request waits; now where nothing is} */
+    long heldSince(RequestState request) {
+        return keysOf(request).stream()
+                .mapToLong(key -> table.idleSince(key, clock.now()))
+                .min()
+                .orElse(clock.now());
     }
 
     /** A prefill ended well: its state waits at the engine. */
@@ -162,16 +195,28 @@
     }
 
     /** A running attempt ended, well or not; what it leaves is said by the other methods. */
-    void attemptEnded(Attempt attempt, Outcome outcome) {
-        boolean reachedEngine = attempt.written && outcome != Outcome.CONNECT_FAILED;
-        if (reachedEngine && mayLeaveState(attempt, outcome)) {
+    void attemptEnded(Attempt attempt, Outcome outcome, boolean givenUp) {
+        boolean written = attempt.delivery.isWritten() && outcome != Outcome.CONNECT_FAILED;
+        if (written && mayLeaveState(attempt, outcome)) {
             ReservationKey key = keyOf(attempt);
-            table.opened(key, Hold.ofLostPrefill(attempt.engine, attempt.id.number()), clock.now());
+            table.opened(key, holdOfLostPrefill(attempt, givenUp), clock.now());
             if (!oneKeyPerRequest) {
                 table.unwanted(key, clock.now());
             }
         }
-        keysOf(attempt.request).forEach(key -> table.attemptEnded(key, reachedEngine, clock.now()));
+        // An attempt that may not have arrived has not stopped the time of what is held.
+        boolean reached = written && attempt.delivery.isDelivered();
+        keysOf(attempt.request).forEach(key -> table.attemptEnded(key, reached, clock.now()));
+    }
+
+    private static Hold holdOfLostPrefill(Attempt attempt, boolean givenUp) {
+        int number = attempt.id.number();
+        if (!givenUp) {
+            return Hold.ofLostPrefill(attempt.engine, number);
+        }
+        return attempt.delivery.isDelivered()
+                ? Hold.ofGivenUpPrefill(attempt.engine, number)
+                : Hold.ofUndeliveredPrefill(attempt.engine, number);
     }
 
     /** A prefill may have ended well in the moment in which it was lost or cancelled. */
@@ -236,7 +281,7 @@
         }
         if (request.runningAttempt != null && request.runningAttempt.prefill) {
             table.attemptSent(key, AttemptPurpose.PREFILL);
-            table.attemptWritten(key);
+            table.attemptDelivered(key);
         }
     }
 
@@ -293,6 +338,18 @@
         return table.size();
     }
 
+    int releasableCount() {
+        return table.releasableCount();
+    }
+
+    Map<ReleaseCause, Long> releasesByCause() {
+        return table.callsByCause();
+    }
+
+    long oldestMicros() {
+        return table.oldestMicros(clock.now());
+    }
+
     long expiredCount() {
         return table.expiredCount();
     }
--- a/core/src/main/java/sorrelhoist/core/request/Router.java
+++ b/core/src/main/java/sorrelhoist/core/request/Router.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.function.Consumer;
 import sorrelhoist.core.guard.InvariantMonitor;
-import sorrelhoist.core.guard.SendGuard;
 import sorrelhoist.core.record.DecisionListener;
 import sorrelhoist.core.time.TimerQueue;
 import sorrelhoist.routing.Knowledge;
@@ -40,6 +39,7 @@
     private final RequestReservations reservations;
     private final RequestIntake intake;
     private final RequestAdmission admission;
+    private final AttemptDeliveries deliveries;
     private final AttemptTracker attempts;
     private final AttemptFailures failures;
     private final StreamMonitor streamMonitor;
@@ -80,6 +80,7 @@
         reservations = core.reservations;
         intake = core.intake;
         admission = core.admission;
+        deliveries = core.deliveries;
         attempts = core.attempts;
         failures = core.failures;
         streamMonitor = new StreamMonitor(settings, timers, clock, failures, core.responses);
@@ -91,16 +92,9 @@
         timerDispatcher =
                 new TimerDispatcher(requests, decisions, failures, streamMonitor, termination);
         actionExecutor = ActionExecutor.create(core, migration, commands);
-        invariantMonitor =
-                new InvariantMonitor(line -> commands.accept(new Command.ReportViolation(line)));
-        sendAuthorization =
-                new SendAuthorization(
-                        requests,
-                        new SendGuard(settings.routing(), invariantMonitor),
-                        invariantMonitor,
-                        core.idempotencyWindow,
-                        clock);
-        metrics = new RouterMetrics(requests, engineKinds, attempts, reservations);
+        invariantMonitor = core.invariantMonitor;
+        sendAuthorization = core.sendAuthorization;
+        metrics = new RouterMetrics(requests, engineKinds, attempts, deliveries, reservations);
     }
 
     /** A request arrived. {@return its client's number here} */
@@ -221,10 +215,7 @@
      */
     public boolean opaqueEventReceived(long time, AttemptId id, Object attachment) {
         Attempt attempt = runningDecode(time, id);
-        if (attempt == null) {
-            return false;
-        }
-        boolean delivered = streams.opaqueEventReceived(attempt, attachment);
+        boolean delivered = attempt != null && streams.opaqueEventReceived(attempt, attachment);
         drain();
         return delivered;
     }
@@ -274,18 +265,23 @@
         decodeSlots.unknown(requestId, engine, slot);
     }
 
-    /**
-     * A release ended. {@code released} where the engine answered that nothing is held any more.
-     */
+    /** A release ended; {@code released} where the engine answered that nothing is held now. */
     public void releaseCompleted(long time, long releaseId, boolean released) {
         clock.advanceTo(time);
         reservations.releaseCompleted(releaseId, released);
     }
 
-    /** Bytes came from an engine, whatever they belong to. */
-    public void bytesReceived(long time, String engine) {
+    /** Bytes came from an engine; they had arrived at the earliest at {@code arrivedAt}. */
+    public void bytesReceived(long time, String engine, long arrivedAt) {
         clock.advanceTo(time);
         reservations.bytesReceived(engine);
+        deliveries.bytesReceived(engine, arrivedAt);
+    }
+
+    /** The call that asked an engine for a sign of life ended; or none could be made. */
+    public void reachabilityChecked(long time, String engine, boolean asked) {
+        clock.advanceTo(time);
+        deliveries.reachabilityChecked(engine, asked);
     }
 
     /** A health check ended, after so many microseconds. */
@@ -310,6 +306,7 @@
         engineKinds.update(updateKind, servers);
         reservations.endpointsUpdated(updateKind, servers);
         sendAuthorization.endpointsUpdated(updateKind, servers);
+        deliveries.endpointsUpdated(updateKind, servers);
         submitEvent(time, new Members(updateKind, servers));
     }
 
@@ -336,7 +333,7 @@
         admission.startDraining();
     }
 
-    /** {@return running streams, where their clients come again for the rest of a migrated one} */
+    /** {@return running streams whose clients come again for the rest of a migrated one} */
     public int migratableStreams() {
         return migration.migratableStreams();
     }
@@ -361,7 +358,9 @@
     /** Lets time pass. */
     public void advance(long time) {
         clock.advanceTo(time);
-        // First of all: reservations have the shortest time.
+        // First of all: reservations have the shortest time, and attempts that may take them.
+        deliveries.advance();
+        drain();
         reservations.advance();
         RouterTimer due = timers.pollDue(clock.now());
         while (due != null) {
@@ -373,18 +372,16 @@
 
     /** {@return when {@link #advance} is next needed; Long.MAX_VALUE for never} */
     public long nextTimerAt() {
-        return Math.min(timers.nextDueMicros(), reservations.nextDueMicros());
+        long reservationsDue = Math.min(reservations.nextDueMicros(), deliveries.nextDueMicros());
+        return Math.min(timers.nextDueMicros(), reservationsDue);
     }
 
     /** Has the policy decide on all that has happened, then throws the first failure, if any. */
     private void drain() {
-        Throwable failure = decisions.run(actionExecutor::execute);
-        requests.removeFinished();
-        if (failure instanceof Error error) {
-            throw error;
-        }
-        if (failure instanceof RuntimeException exception) {
-            throw exception;
+        try {
+            decisions.run(actionExecutor::execute);
+        } finally {
+            requests.removeFinished();
         }
     }
 
--- a/core/src/main/java/sorrelhoist/core/reservation/Hold.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Hold.java
@@ -19,11 +19,18 @@
     public enum Certainty {
         /** The engine answered that it holds it. */
         CONFIRMED,
+        /** The attempt was lost; it may have ended well, or may do so within the settling time. */
+        POSSIBLE,
         /**
-         * The attempt was lost or cancelled; it may have ended well, or may do so within the
-         * settling time.
+         * The attempt was given up while its engine had it. Where the engine is stopped meanwhile,
+         * it may end well after that.
          */
-        POSSIBLE
+        GIVEN_UP,
+        /**
+         * The attempt was given up, and nothing shows that it has reached its engine: it may do so
+         * when the engine, or the way to it, comes back, and may wait there.
+         */
+        UNDELIVERED
     }
 
     /** {@return a prefill state that its engine has announced} */
@@ -36,6 +43,18 @@
         return new Hold(engine, "", "", attempt, Certainty.POSSIBLE);
     }
 
+    /** {@return what a prefill may leave that was given up while its engine had it} */
+    public static Hold ofGivenUpPrefill(String engine, int attempt) {
+        return new Hold(engine, "", "", attempt, Certainty.GIVEN_UP);
+    }
+
+    /**
+     * {@return what a prefill may leave that was cancelled before anything showed that it arrived}
+     */
+    public static Hold ofUndeliveredPrefill(String engine, int attempt) {
+        return new Hold(engine, "", "", attempt, Certainty.UNDELIVERED);
+    }
+
     /** {@return a decode slot that was reserved ahead of its use} */
     public static Hold ofDecodeSlot(String engine, String slot, Certainty certainty) {
         return new Hold(engine, "", slot, 0, certainty);
--- a/core/src/main/java/sorrelhoist/core/reservation/ReleasePolicy.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReleasePolicy.java
@@ -12,6 +12,10 @@
     private static final int RETRY_SHARE = 8;
     private static final int SAFETY_MARGIN_SHARE = 5;
     private static final int EXPIRY_FACTOR = 4;
+    private static final int CONFIRMATION_SHARE = 5;
+    private static final int LATEST_START_PERCENT = 60;
+    private static final int PERCENT = 100;
+    private static final int LATE_ARRIVAL_RELEASES = 4;
 
     /**
      * {@return how long after a request's last outcome its reservations are released where nothing
@@ -21,6 +25,31 @@
         return limitMicros / SETTLED_SHARE;
     }
 
+    /**
+     * {@return how long an attempt that was written has until something shows that it was
+     * delivered} Until then it stops the release of what it is to take, but no longer than {@link
+     * #latestStartMicros()}.
+     */
+    public long confirmationMicros() {
+        return limitMicros / CONFIRMATION_SHARE;
+    }
+
+    /**
+     * {@return how long after a request's last outcome its reservations are released at the latest,
+     * unless their engine has the attempt that takes them}
+     */
+    public long latestStartMicros() {
+        return limitMicros * LATEST_START_PERCENT / PERCENT;
+    }
+
+    /**
+     * {@return how often what an undelivered prefill may leave is released once its engine is heard
+     * again} The calls follow each other at the limit, as the prefill may have to wait there.
+     */
+    public int lateArrivalReleases() {
+        return LATE_ARRIVAL_RELEASES;
+    }
+
     /**
      * {@return how long a cancelled prefill may still end at its engine} Its connection is closed
      * at once, but a release travels on another one and may overtake the close. Where releases name
--- a/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
@@ -6,21 +6,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import sorrelhoist.core.reservation.Hold.Certainty;
 
 /** The holds of one key, the attempt that may take them, and the calls that release them. */
 final class Reservation {
     /** Calls that follow each other at the retry interval; then each wait doubles. */
     private static final int CALLS_BEFORE_BACKOFF = 4;
 
-    /**
-     * A hold that is not known to be gone.
-     *
-     * @param hold what is held
-     * @param provableFrom from when on a call that is made proves that it is gone
-     * @param needed whether an attempt of the request will take it
-     */
-    private record OpenHold(Hold hold, long provableFrom, boolean needed) {}
+    /** How far the running attempt has come. */
+    private enum Progress {
+        CONNECTING,
+        WRITTEN,
+        DELIVERED
+    }
 
     /** The running attempt. */
     private static final class Attempt {
@@ -29,7 +26,8 @@
         /** Whether the holds were being released until this attempt went out. */
         final boolean stoppedRelease;
 
-        boolean written;
+        Progress progress = Progress.CONNECTING;
+        long writtenAt;
 
         Attempt(AttemptPurpose purpose, boolean stoppedRelease) {
             this.purpose = purpose;
@@ -66,8 +64,7 @@
     // What happens to its request
 
     void opened(Hold hold, long now) {
-        boolean possible = hold.certainty() == Certainty.POSSIBLE;
-        holds.add(new OpenHold(hold, possible ? now + policy.settleMicros() : now, !possible));
+        holds.add(OpenHold.opened(hold, policy, now));
         callableFrom = Math.min(callableFrom, now);
     }
 
@@ -76,27 +73,31 @@
         unwanted = false;
     }
 
-    void attemptWritten() {
+    /** The attempt's last byte was written; nothing shows yet that its engine has it. */
+    void attemptWritten(long now) {
+        if (attempt != null) {
+            attempt.progress = Progress.WRITTEN;
+            attempt.writtenAt = now;
+        }
+    }
+
+    /** The attempt's engine has it. */
+    void attemptDelivered() {
         if (attempt != null) {
-            attempt.written = true;
+            attempt.progress = Progress.DELIVERED;
         }
     }
 
     /** A connection to the attempt's engine has to come up first. */
     void attemptConnecting() {
         if (attempt != null) {
-            attempt.written = false;
+            attempt.progress = Progress.CONNECTING;
         }
     }
 
     /** No attempt will use the prefill states; decode slots may still be used. */
     void prefillStatesUnneeded() {
-        holds.replaceAll(
-                open ->
-                        new OpenHold(
-                                open.hold(),
-                                open.provableFrom(),
-                                open.needed() && !open.hold().decodeSlot().isEmpty()));
+        holds.replaceAll(OpenHold::withoutPrefillStateNeeded);
     }
 
     /**
@@ -129,13 +130,50 @@
         holds.removeIf(open -> open.provableFrom() <= now);
         attempt = null;
         unwanted = true;
-        callableFrom = holds.stream().mapToLong(OpenHold::provableFrom).min().orElse(now);
+        callableFrom = nextProvable(now);
     }
 
     boolean holdsNothing() {
         return holds.isEmpty();
     }
 
+    /**
+     * {@return whether it waits for an engine alone that has to be heard before a release is of
+     * use}
+     */
+    boolean awaitsEngineOnly() {
+        return calls.isEmpty()
+                && holds.stream().allMatch(open -> open.provableFrom() == OpenHold.NEVER);
+    }
+
+    /** An engine is reachable again: what was on its way there arrives now, or never. */
+    void engineHeard(String engine, long now) {
+        holds.replaceAll(open -> open.engineHeard(engine, policy, now));
+        callableFrom = Math.min(callableFrom, nextProvable(now));
+    }
+
+    /** An engine is gone, and what may have been held there with it. */
+    void engineRemoved(String engine) {
+        holds.removeIf(open -> open.awaits(engine));
+    }
+
+    /** {@return why what is held is released now} */
+    ReleaseCause releaseCause() {
+        boolean late = holds.stream().anyMatch(OpenHold::isLateArrival);
+        if (late) {
+            return ReleaseCause.LATE_ARRIVAL;
+        }
+        return unwanted && attempt == null ? ReleaseCause.UNWANTED : ReleaseCause.WAITED_TOO_LONG;
+    }
+
+    long idleSince() {
+        return idleSince;
+    }
+
+    private long nextProvable(long otherwise) {
+        return holds.stream().mapToLong(OpenHold::provableFrom).min().orElse(otherwise);
+    }
+
     // Releases
 
     /** {@return when the next call is due; Long.MAX_VALUE for never as things are} */
@@ -150,12 +188,25 @@
         if (unwanted && attempt == null) {
             return Long.MIN_VALUE;
         }
-        boolean mayTake =
-                attempt != null
-                        && attempt.written
-                        && (attempt.purpose == AttemptPurpose.DECODE_RESERVED
-                                || holds.stream().allMatch(OpenHold::needed));
-        return mayTake ? Long.MAX_VALUE : idleSince + policy.idleMicros();
+        long ordinary = idleSince + policy.idleMicros();
+        if (attempt == null || !mayTake(attempt)) {
+            return ordinary;
+        }
+        return switch (attempt.progress) {
+            case CONNECTING -> ordinary;
+            case WRITTEN -> Math.max(ordinary, releasableIfUnconfirmed(attempt.writtenAt));
+            case DELIVERED -> Long.MAX_VALUE;
+        };
+    }
+
+    private boolean mayTake(Attempt sent) {
+        return sent.purpose == AttemptPurpose.DECODE_RESERVED
+                || holds.stream().allMatch(OpenHold::needed);
+    }
+
+    private long releasableIfUnconfirmed(long writtenAt) {
+        return Math.min(
+                writtenAt + policy.confirmationMicros(), idleSince + policy.latestStartMicros());
     }
 
     boolean isExpired(long now) {
@@ -205,8 +256,9 @@
         if (madeAt == null) {
             return false;
         }
+        holds.replaceAll(open -> open.released(policy, madeAt));
         holds.removeIf(open -> open.provableFrom() <= madeAt);
-        callableFrom = holds.stream().mapToLong(OpenHold::provableFrom).min().orElse(0);
+        callableFrom = nextProvable(0);
         resetCalls();
         return true;
     }
--- a/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
@@ -1,7 +1,10 @@
 package sorrelhoist.core.reservation;
 
+import java.util.Collections;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import sorrelhoist.core.time.TimerQueue;
@@ -33,6 +36,7 @@
      */
     private final TimerQueue<Reservation> timers = new TimerQueue<>();
 
+    private final Map<ReleaseCause, Long> callsByCause = new EnumMap<>(ReleaseCause.class);
     private long lastCall;
     private long expiredCount;
 
@@ -101,9 +105,39 @@
         update(key, Reservation::prefillStatesUnneeded);
     }
 
-    /** The last byte of the running attempt was written to a connection that stands. */
-    public void attemptWritten(ReservationKey key) {
-        update(key, Reservation::attemptWritten);
+    /**
+     * The last byte of the running attempt was written to a connection that stands. That alone does
+     * not show that its engine has it.
+     */
+    public void attemptWritten(ReservationKey key, long now) {
+        update(key, reservation -> reservation.attemptWritten(now));
+    }
+
+    /** The running attempt's engine has it, as far as evidence goes. */
+    public void attemptDelivered(ReservationKey key) {
+        update(key, Reservation::attemptDelivered);
+    }
+
+    /** {@return since when what a key holds waits; {@code otherwise} where it holds nothing} */
+    public long idleSince(ReservationKey key, long otherwise) {
+        Reservation reservation = reservations.get(key);
+        return reservation == null ? otherwise : reservation.idleSince();
+    }
+
+    /** An engine of which nothing was heard for a while was heard again. */
+    public void engineHeard(String engine, long now) {
+        for (Reservation reservation : reservations.values()) {
+            reservation.engineHeard(engine, now);
+            scheduleTimer(reservation);
+        }
+    }
+
+    /** An engine left the endpoint list: nothing that was on its way there arrives any more. */
+    public void engineRemoved(String engine) {
+        for (Reservation reservation : List.copyOf(reservations.values())) {
+            reservation.engineRemoved(engine);
+            forgetIfEmpty(reservation);
+        }
     }
 
     /**
@@ -226,9 +260,17 @@
     private void call(Reservation reservation, String engine, long now) {
         long call = ++lastCall;
         calls.put(call, reservation);
+        ReleaseCause cause = reservation.releaseCause();
+        callsByCause.merge(cause, 1L, Long::sum);
         reservation.called(call, engine, now);
         releaseClient.release(
-                new ReleaseCall(call, reservation.key.requestName(), engine, reservation.latest()));
+                new ReleaseCall(
+                        call,
+                        reservation.key.requestName(),
+                        engine,
+                        reservation.latest(),
+                        cause,
+                        now - reservation.idleSince()));
     }
 
     private void abandonCalls(Reservation reservation) {
@@ -268,6 +310,14 @@
         return reservations.size();
     }
 
+    /** {@return keys of which something can be released as things are} */
+    public int releasableCount() {
+        return (int)
+                reservations.values().stream()
+                        .filter(reservation -> !reservation.awaitsEngineOnly())
+                        .count();
+    }
+
     /** {@return those among them that an attempt may still take} */
     public int wantedCount() {
         return (int)
@@ -281,6 +331,19 @@
         return calls.size();
     }
 
+    /** {@return how many releases were asked for since the start, by their cause} */
+    public Map<ReleaseCause, Long> callsByCause() {
+        return Collections.unmodifiableMap(callsByCause);
+    }
+
+    /** {@return how long the oldest of what is held has waited, in microseconds; 0 for nothing} */
+    public long oldestMicros(long now) {
+        return reservations.values().stream()
+                .mapToLong(reservation -> now - reservation.idleSince())
+                .max()
+                .orElse(0);
+    }
+
     /** {@return reservations that were given up on since the start} */
     public long expiredCount() {
         return expiredCount;
--- a/core/src/test/java/sorrelhoist/core/request/Fleet.java
+++ b/core/src/test/java/sorrelhoist/core/request/Fleet.java
@@ -68,6 +68,42 @@
                 seed);
     }
 
+    /** {@return settings of a router on the operators' platform} */
+    static RouterSettings platformSettings(boolean decodersMayPrefill, long budget) {
+        RoutingSettings plain = decide(true);
+        Capabilities limits = plain.capabilities();
+        Capabilities capabilities =
+                new Capabilities(
+                        limits.maxAttempts(),
+                        limits.cancel(),
+                        limits.probes(),
+                        limits.backoffHints(),
+                        limits.maxBackoffMicros(),
+                        decodersMayPrefill,
+                        limits.gossip(),
+                        limits.probeCost(),
+                        limits.gossipCost());
+        return new RouterSettings(
+                new RouterIdentity("router", 1),
+                new RoutingSettings(
+                        plain.routers(),
+                        plain.self(),
+                        plain.zone(),
+                        plain.subscribesToDiscovery(),
+                        plain.overQuotaPriorityWeight(),
+                        plain.loadReportMode(),
+                        plain.classes(),
+                        plain.tenants(),
+                        plain.serverKinds(),
+                        capabilities,
+                        plain.serverLimits()),
+                new RequestTimeouts(List.of(budget, budget, budget), List.of(0L, 0L, 0L), 0),
+                StreamSettings.ofOpaqueEvents(true, SECOND, STALL),
+                100,
+                ReleaseReach.ANY_ENGINE,
+                7);
+    }
+
     static List<Server> servers() {
         List<Server> all = new ArrayList<>();
         for (int i = 0; i < 2; i++) {
--- a/core/src/test/java/sorrelhoist/core/request/ReservationWorld.java
+++ b/core/src/test/java/sorrelhoist/core/request/ReservationWorld.java
@@ -7,13 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import sorrelhoist.core.reservation.ReleaseReach;
 import sorrelhoist.core.time.TimerQueue;
 import sorrelhoist.routing.RoutingEvents.ListUpdateKind;
 import sorrelhoist.routing.RoutingEvents.Outcome;
 import sorrelhoist.routing.RoutingEvents.ServerLoad;
-import sorrelhoist.routing.RoutingSettings;
-import sorrelhoist.routing.RoutingSettings.Capabilities;
 
 /**
  * Workers of the operators' platform around one router, in virtual time: they keep what reads leave
@@ -34,6 +31,7 @@
     private static final long STEP = 20_000;
     private static final long CONNECT_LIMIT = 250_000;
     private static final long SOON = 1000;
+    private static final long UNREACHABLE_FOR = 3 * Fleet.SECOND;
     private static final long RELEASE_ARRIVES = 3000;
     private static final long SLOW_RELEASE_ARRIVES = 100_000;
 
@@ -64,6 +62,10 @@
     private final Map<AttemptId, Out> out = new HashMap<>();
     private final Set<Long> abandoned = new HashSet<>();
     private final Set<String> gone = new HashSet<>();
+
+    /** Engines of which nothing comes, with the time at which they are back. */
+    private final Map<String, Long> unreachable = new HashMap<>();
+
     private final ArrayDeque<ReservationEvent> releases = new ArrayDeque<>();
     private final List<String> faults = new ArrayList<>();
     private Connecting next = Connecting.STANDS;
@@ -77,42 +79,7 @@
 
     ReservationWorld(Tail tail, boolean writersRead) {
         this.tail = tail;
-        RoutingSettings small = Fleet.decide(true);
-        Capabilities limits = small.capabilities();
-        RoutingSettings settings =
-                new RoutingSettings(
-                        small.routers(),
-                        small.self(),
-                        small.zone(),
-                        small.subscribesToDiscovery(),
-                        small.overQuotaPriorityWeight(),
-                        small.loadReportMode(),
-                        small.classes(),
-                        small.tenants(),
-                        small.serverKinds(),
-                        new Capabilities(
-                                limits.maxAttempts(),
-                                limits.cancel(),
-                                limits.probes(),
-                                limits.backoffHints(),
-                                limits.maxBackoffMicros(),
-                                writersRead,
-                                limits.gossip(),
-                                limits.probeCost(),
-                                limits.gossipCost()),
-                        small.serverLimits());
-        router =
-                new Router(
-                        new RouterSettings(
-                                new RouterIdentity("router", 1),
-                                settings,
-                                new RequestTimeouts(
-                                        List.of(BUDGET, BUDGET, BUDGET), List.of(0L, 0L, 0L), 0),
-                                StreamSettings.ofOpaqueEvents(true, Fleet.SECOND, Fleet.STALL),
-                                100,
-                                ReleaseReach.ANY_ENGINE,
-                                7),
-                        this::take);
+        router = new Router(Fleet.platformSettings(writersRead, BUDGET), this::take);
         router.endpointsUpdated(0, ListUpdateKind.COMPLETE, Fleet.servers());
     }
 
@@ -206,7 +173,7 @@
             case WRITER_ERROR -> loseIf(writing, attempt, Outcome.ERROR, 0);
             case NEXT_UNREACHABLE -> next = Connecting.FAILS;
             case NEXT_CONNECTION_HANGS -> next = Connecting.HANGS;
-            case NEXT_READ_SWALLOWED -> next = Connecting.SWALLOWS;
+            case NEXT_SWALLOWED -> next = Connecting.SWALLOWS;
             case TIME_PASSES -> passTo(now + Fleet.RELEASE / 2);
             case CLIENT_GONE -> disconnectClient();
             case DEADLINE -> passTo(now + BUDGET);
@@ -319,6 +286,8 @@
             release(o);
         } else if (order instanceof Command.AbandonRelease o) {
             abandoned.add(o.releaseId());
+        } else if (order instanceof Command.CheckReachability o) {
+            checkReachability(o.engine());
         }
     }
 
@@ -327,17 +296,12 @@
             faults.add("two attempts at once");
         }
         Connecting connecting = gone.contains(attempt.engine) ? Connecting.FAILS : next;
-        // A writer's connection that swallows the request is not played: see the incident of states
-        // of lost reads.
-        if (connecting == Connecting.SWALLOWS && !attempt.read) {
-            connecting = Connecting.STANDS;
-        } else {
-            next = Connecting.STANDS;
-        }
+        next = Connecting.STANDS;
         out.put(attempt.id, attempt);
         router.attemptConnecting(now, attempt.id);
         if (connecting == Connecting.SWALLOWS) {
             router.attemptWritten(now, attempt.id);
+            unreachable.put(attempt.engine, now + UNREACHABLE_FOR);
         } else if (connecting == Connecting.STANDS) {
             world.schedule(
                     now + SOON,
@@ -372,10 +336,28 @@
         }
     }
 
+    /** An engine that is there answers at once; one that is not, as soon as it is back. */
+    private void checkReachability(String engine) {
+        if (gone.contains(engine)) {
+            world.schedule(now + SOON, () -> router.reachabilityChecked(now, engine, true));
+            return;
+        }
+        long backAt = unreachable.getOrDefault(engine, now);
+        world.schedule(
+                Math.max(now, backAt) + SOON,
+                () -> {
+                    if (!gone.contains(engine)) {
+                        router.bytesReceived(now, engine, now);
+                    }
+                    router.reachabilityChecked(now, engine, true);
+                });
+    }
+
     private void release(Command.ReleaseReservation o) {
         ReservationEvent fate =
                 gone.contains(o.engine()) ? ReservationEvent.RELEASE_REFUSED : releases.poll();
-        if (fate == ReservationEvent.RELEASE_LOST) {
+        boolean lost = unreachable.getOrDefault(o.engine(), 0L) > now;
+        if (fate == ReservationEvent.RELEASE_LOST || lost) {
             return;
         }
         long arrives =
--- a/core/src/test/java/sorrelhoist/core/request/UndeliveredAttemptTest.java
+++ b/core/src/test/java/sorrelhoist/core/request/UndeliveredAttemptTest.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import sorrelhoist.core.reservation.ReleaseReach;
 import sorrelhoist.routing.RoutingEvents.ListUpdateKind;
 import sorrelhoist.routing.RoutingEvents.ServerLoad;
 
@@ -18,18 +17,7 @@
     private static final long PREFILLED = 10_000;
 
     private final List<Command> commands = new ArrayList<>();
-    private final Router router =
-            new Router(
-                    new RouterSettings(
-                            new RouterIdentity("router", 1),
-                            Fleet.decide(true),
-                            new RequestTimeouts(
-                                    List.of(BUDGET, BUDGET, BUDGET), List.of(0L, 0L, 0L), 0),
-                            StreamSettings.ofOpaqueEvents(true, Fleet.SECOND, Fleet.STALL),
-                            100,
-                            ReleaseReach.ANY_ENGINE,
-                            7),
-                    commands::add);
+    private final Router router = new Router(Fleet.platformSettings(false, BUDGET), commands::add);
     private long now;
 
     UndeliveredAttemptTest() {
@@ -86,4 +74,65 @@
                         .map(Command.CancelAttempt::attempt)
                         .toList());
     }
+
+    @Test
+    void aPrefillThatNothingConfirmsGoesToAnotherEngine() {
+        router.requestArrived(now, Fleet.call(Fleet.UNSAFE, 10, BUDGET));
+        Command.StartAttempt first = written(all(Command.StartPrefill.class).get(0));
+        passTo(Fleet.RELEASE);
+        List<Command.StartPrefill> prefills = all(Command.StartPrefill.class);
+        assertEquals(2, prefills.size());
+        assertNotEquals(first.engine(), prefills.get(1).engine());
+    }
+
+    @Test
+    void aSecondDecodeThatNothingConfirmsDoesNotRestartTheTimeOfItsState() {
+        decodeWritten(Fleet.SAFE);
+        passTo(PREFILLED + Fleet.RELEASE / 2);
+        written(all(Command.StartDecode.class).get(1));
+        assertEquals(List.of(), all(Command.ReleaseReservation.class));
+        passTo(PREFILLED + 7 * Fleet.RELEASE / 10);
+        assertTrue(all(Command.ReleaseReservation.class).size() > 0, "nothing was released");
+    }
+
+    @Test
+    void aDecodeOfAnEngineThatSpeaksKeepsItsState() {
+        Command.StartDecode decode = decodeWritten(Fleet.SAFE);
+        passTo(PREFILLED + Fleet.RELEASE / 10);
+        router.bytesReceived(now, decode.engine(), now);
+        passTo(PREFILLED + 2 * Fleet.RELEASE);
+        assertEquals(List.of(), all(Command.ReleaseReservation.class));
+        assertEquals(1, all(Command.StartDecode.class).size());
+    }
+
+    /** The engine read it after all, when it could: whatever it left is released then. */
+    @Test
+    void aPrefillThatArrivesAfterItWasGivenUpIsReleasedOnceItsEngineIsBack() {
+        router.requestArrived(now, Fleet.call(Fleet.SAFE, 10, BUDGET));
+        Command.StartAttempt first = written(all(Command.StartPrefill.class).get(0));
+        passTo(Fleet.RELEASE / 2);
+        Command.StartPrefill second = all(Command.StartPrefill.class).get(1);
+        written(second);
+        router.prefillCompleted(now, second.attempt(), "", 0, ServerLoad.NONE);
+        Command.StartDecode decode = all(Command.StartDecode.class).get(0);
+        written(decode);
+        router.opaqueEventReceived(now, decode.attempt(), new Object());
+        router.opaqueStreamCompleted(now, decode.attempt(), 0, ServerLoad.NONE);
+        passTo(2 * Fleet.SECOND);
+        answerReleases();
+        int before = all(Command.ReleaseReservation.class).size();
+        router.bytesReceived(now, first.engine(), now);
+        passTo(now + Fleet.RELEASE);
+        assertTrue(all(Command.ReleaseReservation.class).size() > before, "not released again");
+        for (int i = 0; i < 5; i++) {
+            answerReleases();
+            passTo(now + Fleet.RELEASE);
+        }
+        assertEquals(0, router.metrics().reservationCount());
+    }
+
+    private void answerReleases() {
+        all(Command.ReleaseReservation.class)
+                .forEach(release -> router.releaseCompleted(now, release.releaseId(), true));
+    }
 }
--- a/core/src/test/java/sorrelhoist/core/reservation/ReservationTableTest.java
+++ b/core/src/test/java/sorrelhoist/core/reservation/ReservationTableTest.java
@@ -3,66 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Reservations of single requests, with time in the test's hands. */
-class ReservationTableTest {
-    private static final long LIMIT = 500_000;
-    private static final int MOST = 8;
-    private static final ReleasePolicy POLICY = new ReleasePolicy(ReleaseReach.ANY_ENGINE, LIMIT);
-    private static final ReservationKey KEY = ReservationKey.ofRequest("a");
-
-    private final List<ReleaseCall> calls = new ArrayList<>();
-    private final List<Long> callTimes = new ArrayList<>();
-    private final List<Long> abandoned = new ArrayList<>();
-    private final List<String> expired = new ArrayList<>();
-    private final EngineActivity engines = new EngineActivity(2 * POLICY.retryMicros());
-    private long now;
-    private final ReservationTable table =
-            new ReservationTable(
-                    POLICY,
-                    engines,
-                    new ReleaseClient() {
-                        @Override
-                        public void release(ReleaseCall call) {
-                            calls.add(call);
-                            callTimes.add(now);
-                        }
-
-                        @Override
-                        public void abandon(long call) {
-                            abandoned.add(call);
-                        }
-
-                        @Override
-                        public void expired(ReservationKey key, String engine, int made) {
-                            expired.add(key.requestName() + " at " + engine + " after " + made);
-                        }
-                    },
-                    MOST);
-
-    ReservationTableTest() {
-        engines.replaced(List.of("r0", "r1", "w0", "w1"));
-    }
-
-    private void passTo(long time) {
-        while (table.nextDueMicros() <= time) {
-            now = Math.max(now, table.nextDueMicros());
-            table.advance(now);
-        }
-        now = time;
-    }
-
-    private ReleaseCall lastCall() {
-        return calls.get(calls.size() - 1);
-    }
-
-    private void answerLast(boolean done) {
-        table.releaseCompleted(lastCall().id(), done, now);
-    }
-
+class ReservationTableTest extends ReservationTableTestSupport {
     @Test
     void aStateThatNothingWantsIsReleasedAtOnceByOneCall() {
         table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
@@ -95,7 +40,7 @@
         table.unwanted(KEY, now);
         ReleaseCall first = lastCall();
         table.attemptSent(KEY, AttemptPurpose.PREFILL);
-        table.attemptWritten(KEY);
+        table.attemptDelivered(KEY);
         now = 10_000;
         table.attemptEnded(KEY, true, now);
         table.opened(KEY, Hold.ofLostPrefill("r1", 1), now);
@@ -111,7 +56,7 @@
     void aStateWaitsForItsWriterWhileTheWriterHasTheRequest() {
         table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
         table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
-        table.attemptWritten(KEY);
+        table.attemptDelivered(KEY);
         passTo(10 * LIMIT);
         assertEquals(0, calls.size());
         table.taken(KEY, now);
@@ -156,7 +101,7 @@
         table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
         table.unwanted(KEY, now);
         table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
-        table.attemptWritten(KEY);
+        table.attemptDelivered(KEY);
         table.taken(KEY, now);
         table.attemptEnded(KEY, true, now);
         passTo(10 * LIMIT);
@@ -168,7 +113,7 @@
     void anAnswerOfTheWriterBeginsTheTimeAnew() {
         table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
         table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
-        table.attemptWritten(KEY);
+        table.attemptDelivered(KEY);
         passTo(3 * LIMIT);
         table.attemptEnded(KEY, true, now);
         passTo(now + POLICY.idleMicros() - 1);
@@ -181,14 +126,14 @@
     void whatALostReadLeftIsReleasedBesideAnotherReadButNotOnceThatOneHasEnded() {
         table.opened(KEY, Hold.ofLostPrefill("r0", 0), now);
         table.attemptSent(KEY, AttemptPurpose.PREFILL);
-        table.attemptWritten(KEY);
+        table.attemptDelivered(KEY);
         passTo(POLICY.idleMicros());
         assertEquals(1, calls.size(), "the second read may never have arrived");
         table.attemptEnded(KEY, true, now);
         table.prefillCompleted(KEY, Hold.ofPrefillState("r1", ""), now);
         assertEquals(List.of(lastCall().id()), abandoned, "it would take the second state away");
         table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
-        table.attemptWritten(KEY);
+        table.attemptDelivered(KEY);
         passTo(10 * LIMIT);
         assertEquals(1, calls.size());
     }
@@ -199,7 +144,7 @@
         now = 50_000;
         table.prefillCompleted(KEY, Hold.ofPrefillState("r1", ""), now);
         table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
-        table.attemptWritten(KEY);
+        table.attemptDelivered(KEY);
         table.taken(KEY, now);
         assertEquals(1, table.size());
         passTo(POLICY.settleMicros());
@@ -302,7 +247,7 @@
         table.opened(KEY, Hold.ofLostPrefill("r0", 0), now);
         table.unwanted(KEY, now);
         table.attemptSent(KEY, AttemptPurpose.PREFILL);
-        table.attemptWritten(KEY);
+        table.attemptDelivered(KEY);
         answerLast(true);
         assertEquals(1, table.size());
         passTo(POLICY.idleMicros());
@@ -313,11 +258,46 @@
     void aPlaceIsKeptWhileItsRequestIsReadAndReleasedWithIt() {
         table.opened(KEY, Hold.ofDecodeSlot("w0", "p", Hold.Certainty.CONFIRMED), now);
         table.attemptSent(KEY, AttemptPurpose.PREFILL);
-        table.attemptWritten(KEY);
+        table.attemptDelivered(KEY);
         passTo(5 * LIMIT);
         assertEquals(0, calls.size());
         table.attemptEnded(KEY, true, now);
         table.unwanted(KEY, now);
         assertEquals(1, calls.size());
     }
+
+    @Test
+    void aDecodeThatWasWrittenAndNotDeliveredDoesNotStopTheTimeOfItsState() {
+        table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
+        table.attemptConnecting(KEY);
+        table.attemptWritten(KEY, now);
+        passTo(POLICY.idleMicros());
+        assertEquals(1, calls.size());
+    }
+
+    @Test
+    void aSecondDecodeHasAMomentToBeConfirmedButNoMoreThanTheLimitAllows() {
+        table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
+        passTo(POLICY.idleMicros() - 1);
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
+        table.attemptConnecting(KEY);
+        table.attemptWritten(KEY, now);
+        passTo(POLICY.latestStartMicros() - 1);
+        assertEquals(0, calls.size());
+        passTo(POLICY.latestStartMicros());
+        assertEquals(1, calls.size());
+    }
+
+    @Test
+    void aDecodeThatWasDeliveredStopsTheTimeOfItsState() {
+        table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
+        table.attemptConnecting(KEY);
+        table.attemptWritten(KEY, now);
+        passTo(POLICY.idleMicros() - 1);
+        table.attemptDelivered(KEY);
+        passTo(10 * LIMIT);
+        assertEquals(0, calls.size());
+    }
 }
--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/reservation/ReservationTableTestSupport.java
@@ -0,0 +1,61 @@
+package sorrelhoist.core.reservation;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A table of reservations with its calls kept and time in the test's hands. */
+abstract class ReservationTableTestSupport {
+    static final long LIMIT = 500_000;
+    static final int MOST = 8;
+    static final ReleasePolicy POLICY = new ReleasePolicy(ReleaseReach.ANY_ENGINE, LIMIT);
+    static final ReservationKey KEY = ReservationKey.ofRequest("a");
+
+    final List<ReleaseCall> calls = new ArrayList<>();
+    final List<Long> callTimes = new ArrayList<>();
+    final List<Long> abandoned = new ArrayList<>();
+    final List<String> expired = new ArrayList<>();
+    final EngineActivity engines = new EngineActivity(2 * POLICY.retryMicros());
+    long now;
+    final ReservationTable table =
+            new ReservationTable(
+                    POLICY,
+                    engines,
+                    new ReleaseClient() {
+                        @Override
+                        public void release(ReleaseCall call) {
+                            calls.add(call);
+                            callTimes.add(now);
+                        }
+
+                        @Override
+                        public void abandon(long call) {
+                            abandoned.add(call);
+                        }
+
+                        @Override
+                        public void expired(ReservationKey key, String engine, int made) {
+                            expired.add(key.requestName() + " at " + engine + " after " + made);
+                        }
+                    },
+                    MOST);
+
+    ReservationTableTestSupport() {
+        engines.replaced(List.of("r0", "r1", "w0", "w1"));
+    }
+
+    void passTo(long time) {
+        while (table.nextDueMicros() <= time) {
+            now = Math.max(now, table.nextDueMicros());
+            table.advance(now);
+        }
+        now = time;
+    }
+
+    ReleaseCall lastCall() {
+        return calls.get(calls.size() - 1);
+    }
+
+    void answerLast(boolean done) {
+        table.releaseCompleted(lastCall().id(), done, now);
+    }
+}
--- a/decide/src/main/java/sorrelhoist/routing/Attempt.java
+++ b/decide/src/main/java/sorrelhoist/routing/Attempt.java
@@ -1,5 +1,7 @@
 package sorrelhoist.routing;
 
+import sorrelhoist.routing.RoutingEvents.Outcome;
+
 /** One send of a request to one endpoint. */
 final class Attempt {
     /**
@@ -18,6 +20,9 @@
     final long sentAt;
     final Estimate estimate;
 
+    /** Whether something should have shown by now that its endpoint has it, and nothing does. */
+    boolean unconfirmed;
+
     /**
      * Creates an attempt.
      *
@@ -45,4 +50,9 @@
         this.sentAt = sentAt;
         this.estimate = estimate;
     }
+
+    /** {@return whether it ended with nothing to show that it had ever reached its endpoint} */
+    boolean wasNeverConfirmed(Outcome outcome) {
+        return unconfirmed && (outcome == Outcome.CANCELLED || outcome == Outcome.TIMED_OUT);
+    }
 }
--- a/decide/src/main/java/sorrelhoist/routing/CandidateFilter.java
+++ b/decide/src/main/java/sorrelhoist/routing/CandidateFilter.java
@@ -50,8 +50,11 @@
         }
         int key = request.classTenantKey();
         long now = context.now();
+        List<Endpoint> reachable =
+                Endpoints.preferring(fit, endpoint -> endpoint.avoidedUntil <= now);
         List<Endpoint> untried =
-                Endpoints.preferring(fit, endpoint -> !request.failedEndpoints.contains(endpoint));
+                Endpoints.preferring(
+                        reachable, endpoint -> !request.failedEndpoints.contains(endpoint));
         return Endpoints.preferring(
                 untried, endpoint -> endpoint.backoffUntil.getOrDefault(key, 0L) <= now);
     }
--- a/decide/src/main/java/sorrelhoist/routing/Endpoint.java
+++ b/decide/src/main/java/sorrelhoist/routing/Endpoint.java
@@ -33,6 +33,9 @@
     /** Start of the process on this router's clock. */
     long startedAt = SlowStart.LONG_AGO;
 
+    /** Until when others are preferred to it, as an attempt seems not to have reached it. */
+    long avoidedUntil;
+
     /** Share of its memory that was in use at its last report. */
     double memoryShare;
 
--- a/decide/src/main/java/sorrelhoist/routing/IdempotencyGuard.java
+++ b/decide/src/main/java/sorrelhoist/routing/IdempotencyGuard.java
@@ -2,6 +2,7 @@
 
 import sorrelhoist.routing.RoutingSettings.Idempotency;
 import sorrelhoist.routing.RoutingSettings.IdempotencyScope;
+import sorrelhoist.routing.RoutingSettings.RequestClass;
 
 /**
  * Decides where a request may run once more, and whether its client may be told that a retry is
@@ -15,18 +16,30 @@
      * where the key is known, within its window.
      */
     static boolean mayRunAt(TrackedRequest request, Endpoint endpoint, long now) {
-        Idempotency idempotency = request.requestClass.idempotency();
-        if (request.mayHaveRunAt == null || idempotency == Idempotency.SAFE) {
+        return request.mayHaveRunAt == null
+                || mayRepeatAt(
+                        request.requestClass,
+                        request.mayHaveRunAt,
+                        request.mayHaveRunFrom,
+                        endpoint,
+                        now);
+    }
+
+    /** {@return whether what may have run at an endpoint from a time on may run at another one} */
+    static boolean mayRepeatAt(
+            RequestClass requestClass, Endpoint first, long firstFrom, Endpoint next, long now) {
+        Idempotency idempotency = requestClass.idempotency();
+        if (idempotency == Idempotency.SAFE) {
             return true;
         }
-        long windowEnd = request.mayHaveRunFrom + request.requestClass.idempotencyWindowMicros();
+        long windowEnd = firstFrom + requestClass.idempotencyWindowMicros();
         if (idempotency == Idempotency.UNSAFE || now >= windowEnd) {
             return false;
         }
-        return switch (request.requestClass.idempotencyScope()) {
+        return switch (requestClass.idempotencyScope()) {
             case ALL -> true;
-            case ZONE -> endpoint.zone == request.mayHaveRunAt.zone;
-            case CELL -> endpoint.cell == request.mayHaveRunAt.cell;
+            case ZONE -> next.zone == first.zone;
+            case CELL -> next.cell == first.cell;
         };
     }
 
--- a/decide/src/main/java/sorrelhoist/routing/OutcomeRecorder.java
+++ b/decide/src/main/java/sorrelhoist/routing/OutcomeRecorder.java
@@ -43,6 +43,7 @@
     void recordFirstToken(TrackedRequest request, Attempt attempt, StreamStarted event) {
         double ratio = serviceTimes.learnFirstToken(request.promptTokens(), event.tookMicros());
         outliers.recordSuccess(attempt.endpoint, ratio);
+        attempt.endpoint.avoidedUntil = 0;
         Endpoint source = request.prefilledAt == null ? attempt.endpoint : request.prefilledAt;
         delays.recordAnswer(request, attempt, source.cell, event.tookMicros());
         attempt.endpoint.inFlight.answered(request.id);
@@ -72,6 +73,7 @@
         outliers.recordSuccess(
                 endpoint, serviceTimes.learnPrefill(endpoint, missed, event.tookMicros()));
         delays.recordAnswer(request, attempt, endpoint.cell, event.tookMicros());
+        endpoint.avoidedUntil = 0;
         long begunAt = Math.max(attempt.sentAt, endpoint.lastPrefillAt);
         serviceTimes.learnPrefillInterval(endpoint, missed, now - begunAt);
         endpoint.lastPrefillAt = now;
@@ -88,15 +90,32 @@
         gossip.tell(attempt.endpoint, GossipCodec.FULL, key, backoff / MICROS_PER_MILLI);
     }
 
+    /**
+     * Nothing shows that an attempt has reached its endpoint. That is recorded once: what becomes
+     * of the attempt says nothing more of the endpoint, unless it answers.
+     */
+    void recordUnconfirmed(TrackedRequest request, Attempt attempt) {
+        recordFailure(attempt.endpoint);
+        if (attempt.prefill) {
+            prefixes.removeHolder(request, attempt.endpoint);
+        }
+    }
+
+    private void recordFailure(Endpoint endpoint) {
+        gossip.tell(endpoint, GossipCodec.FAILED, 0, context.settings().zone());
+        outliers.recordFailure(endpoint);
+    }
+
     private void recordFailure(TrackedRequest request, Attempt attempt, AttemptEnded event) {
         Endpoint endpoint = attempt.endpoint;
-        int zone = context.settings().zone();
+        if (attempt.unconfirmed) {
+            return;
+        }
         if (event.outcome() == Outcome.CONNECT_FAILED) {
-            gossip.tell(endpoint, GossipCodec.UNREACHABLE, 0, zone);
+            gossip.tell(endpoint, GossipCodec.UNREACHABLE, 0, context.settings().zone());
             outliers.recordUnreachable(endpoint);
         } else {
-            gossip.tell(endpoint, GossipCodec.FAILED, 0, zone);
-            outliers.recordFailure(endpoint);
+            recordFailure(endpoint);
         }
         if (event.outcome() == Outcome.TIMED_OUT && endpoint.inFlight.isCurrent(attempt)) {
             learnTimeout(request, attempt, event.tookMicros());
--- a/decide/src/main/java/sorrelhoist/routing/Reason.java
+++ b/decide/src/main/java/sorrelhoist/routing/Reason.java
@@ -78,7 +78,9 @@
         /** The client disconnected. */
         CLIENT_GONE,
         /** The router itself is full or shuts down; figures are open requests. */
-        ROUTER_FULL
+        ROUTER_FULL,
+        /** Nothing shows that the attempt has reached its endpoint; another one is tried. */
+        UNCONFIRMED
     }
 
     private static final double NOT_COMPARED = Double.NaN;
--- a/decide/src/main/java/sorrelhoist/routing/RequestLifecycle.java
+++ b/decide/src/main/java/sorrelhoist/routing/RequestLifecycle.java
@@ -4,6 +4,7 @@
 import sorrelhoist.routing.RoutingActions.Timer;
 import sorrelhoist.routing.RoutingEvents.Arrived;
 import sorrelhoist.routing.RoutingEvents.AttemptEnded;
+import sorrelhoist.routing.RoutingEvents.DeliveryUnconfirmed;
 import sorrelhoist.routing.RoutingEvents.Outcome;
 import sorrelhoist.routing.RoutingEvents.StreamStarted;
 
@@ -16,6 +17,7 @@
     private final StageDispatcher stages;
     private final OutcomeRecorder outcomes;
     private final RetryBudget retries;
+    private final DeliveryFailover failover;
     private final RequestConclusion conclusion;
 
     RequestLifecycle(
@@ -24,12 +26,14 @@
             StageDispatcher stages,
             OutcomeRecorder outcomes,
             RetryBudget retries,
+            DeliveryFailover failover,
             RequestConclusion conclusion) {
         this.context = context;
         this.requests = requests;
         this.stages = stages;
         this.outcomes = outcomes;
         this.retries = retries;
+        this.failover = failover;
         this.conclusion = conclusion;
     }
 
@@ -76,10 +80,11 @@
         }
         Attempt attempt = request.attempt;
         request.attempt = null;
-        boolean unreached = !attempt.prefill && event.outcome() == Outcome.CONNECT_FAILED;
-        if (!unreached) {
-            // While a decode endpoint could not even be reached, the state that waits has waited
-            // on.
+        boolean unreached =
+                event.outcome() == Outcome.CONNECT_FAILED
+                        || attempt.wasNeverConfirmed(event.outcome());
+        if (attempt.prefill || !unreached) {
+            // While a decode endpoint was not reached, the state that waits has waited on.
             request.idleSince = context.now();
         }
         attempt.endpoint.inFlight.ended(request.id, attempt);
@@ -98,8 +103,16 @@
 
     private void retry(TrackedRequest request, Attempt attempt, AttemptEnded event) {
         Outcome outcome = event.outcome();
-        boolean free = outcome == Outcome.CONNECT_FAILED || outcome == Outcome.FULL;
-        boolean neverRan = attempt.prefill || free || outcome == Outcome.SKIPPED;
+        // What reached no endpoint has cost none anything, so that retries cannot pile up there.
+        boolean free =
+                outcome == Outcome.CONNECT_FAILED
+                        || outcome == Outcome.FULL
+                        || attempt.wasNeverConfirmed(outcome);
+        boolean neverRan =
+                attempt.prefill
+                        || outcome == Outcome.CONNECT_FAILED
+                        || outcome == Outcome.FULL
+                        || outcome == Outcome.SKIPPED;
         if (!neverRan && request.mayHaveRunAt == null) {
             request.mayHaveRunAt = attempt.endpoint;
             request.mayHaveRunFrom = attempt.sentAt;
@@ -129,7 +142,8 @@
             request.failedEndpoints.remove(attempt.endpoint);
         } else if (outcome == Outcome.ERROR
                 || outcome == Outcome.RESET
-                || outcome == Outcome.CONNECT_FAILED && waitsTooLong) {
+                || outcome == Outcome.CONNECT_FAILED && waitsTooLong
+                || attempt.wasNeverConfirmed(outcome) && isNearlyOver(request)) {
             // What broke off has mostly fetched the state: the next decode endpoint would read it
             // all,
             // slowing others. And a state may not wait for one more such connection. A prefill
@@ -139,6 +153,19 @@
         }
     }
 
+    /** {@return whether a state has waited for so long that one more decode cannot be confirmed} */
+    private boolean isNearlyOver(TrackedRequest request) {
+        return context.now() >= stages.stateKeptUntil(request);
+    }
+
+    /** Nothing shows that an attempt has reached its endpoint. */
+    void onDeliveryUnconfirmed(DeliveryUnconfirmed event) {
+        TrackedRequest request = requests.findInFlight(event.id(), event.attempt());
+        if (request != null) {
+            failover.onDeliveryUnconfirmed(request, event);
+        }
+    }
+
     /** The client left: nothing is owed any more. */
     void onClientGone(long id) {
         TrackedRequest request = requests.find(id);
--- a/decide/src/main/java/sorrelhoist/routing/RoutingEvents.java
+++ b/decide/src/main/java/sorrelhoist/routing/RoutingEvents.java
@@ -157,6 +157,16 @@
             ServerLoad report)
             implements Event {}
 
+    /**
+     * An attempt was written, and nothing shows that its server has it: the server may be stopped,
+     * or the way to it silent. The attempt is in flight still, and may yet arrive.
+     *
+     * @param id the request
+     * @param attempt number of the send
+     * @param server where it was sent
+     */
+    public record DeliveryUnconfirmed(long id, int attempt, String server) implements Event {}
+
     /**
      * The answer has begun; deadline and timeout no longer run.
      *
--- a/decide/src/main/java/sorrelhoist/routing/RoutingPolicy.java
+++ b/decide/src/main/java/sorrelhoist/routing/RoutingPolicy.java
@@ -7,6 +7,7 @@
 import sorrelhoist.routing.RoutingEvents.Arrived;
 import sorrelhoist.routing.RoutingEvents.AttemptEnded;
 import sorrelhoist.routing.RoutingEvents.ClientGone;
+import sorrelhoist.routing.RoutingEvents.DeliveryUnconfirmed;
 import sorrelhoist.routing.RoutingEvents.Event;
 import sorrelhoist.routing.RoutingEvents.Members;
 import sorrelhoist.routing.RoutingEvents.PeerMessage;
@@ -66,18 +67,23 @@
         prober = new LoadProber(context, endpoints);
         stateTransfer = new StateTransfer(endpoints, prefixes, serviceTimes);
         RequestConclusion conclusion = new RequestConclusion(context, requests);
+        CandidateFilter filter =
+                new CandidateFilter(context, endpoints, outliers, slowStart, arrivals);
+        OutcomeRecorder outcomes =
+                new OutcomeRecorder(
+                        context, prefixes, serviceTimes, delays, outliers, gossipSender);
         lifecycle =
                 new RequestLifecycle(
                         context,
                         requests,
-                        createStages(conclusion),
-                        new OutcomeRecorder(
-                                context, prefixes, serviceTimes, delays, outliers, gossipSender),
+                        createStages(filter, conclusion),
+                        outcomes,
                         new RetryBudget(context),
+                        new DeliveryFailover(context, filter, outcomes),
                         conclusion);
     }
 
-    private StageDispatcher createStages(RequestConclusion conclusion) {
+    private StageDispatcher createStages(CandidateFilter filter, RequestConclusion conclusion) {
         CompletionEstimator completions = new CompletionEstimator(serviceTimes, delays, prefixes);
         AdmissionController admission =
                 new AdmissionController(
@@ -90,7 +96,7 @@
                         completions);
         return new StageDispatcher(
                 context,
-                new CandidateFilter(context, endpoints, outliers, slowStart, arrivals),
+                filter,
                 admission,
                 new PrefillSelector(context, arrivals, prefixes, serviceTimes, completions),
                 new DecodeSelector(context, endpoints, delays),
@@ -125,6 +131,8 @@
             onArrival(arrived);
         } else if (event instanceof AttemptEnded ended) {
             lifecycle.onAttemptEnded(ended);
+        } else if (event instanceof DeliveryUnconfirmed unconfirmed) {
+            lifecycle.onDeliveryUnconfirmed(unconfirmed);
         } else if (event instanceof StreamStarted started) {
             lifecycle.onStreamStarted(started);
         } else if (event instanceof TimerFired timer) {
--- a/edge/src/main/java/sorrelhoist/edge/EngineCommandHandler.java
+++ b/edge/src/main/java/sorrelhoist/edge/EngineCommandHandler.java
@@ -110,6 +110,20 @@
         reservations.abandonRelease(command.releaseId());
     }
 
+    /**
+     * Never commanded: gRPC calls are not reported as written, so they count as delivered, and
+     * their channels notice dead connections by themselves.
+     */
+    @Override
+    public void checkReachability(Command.CheckReachability command) {
+        throw new UnsupportedOperationException("an edge does not ask engines");
+    }
+
+    @Override
+    public void reportDelivery(Command.ReportDelivery command) {
+        throw new UnsupportedOperationException("an edge takes what it sends for delivered");
+    }
+
     @Override
     public void reportExpiredRelease(Command.ReportExpiredRelease command) {
         reservations.logExpiredRelease(command);
--- a/edge/src/main/java/sorrelhoist/edge/RouterCommandHandler.java
+++ b/edge/src/main/java/sorrelhoist/edge/RouterCommandHandler.java
@@ -91,6 +91,16 @@
         engines.abandonRelease(command);
     }
 
+    @Override
+    public void checkReachability(Command.CheckReachability command) {
+        engines.checkReachability(command);
+    }
+
+    @Override
+    public void reportDelivery(Command.ReportDelivery command) {
+        engines.reportDelivery(command);
+    }
+
     @Override
     public void reportExpiredRelease(Command.ReportExpiredRelease command) {
         engines.reportExpiredRelease(command);
