Have the soak hang workers, silence connections and signal in rows as operators see it

Cause: in the soak's oracle bytes that reach a hung worker counted as arrived, it even released what it held; links reset all that was silent, so nothing ever came late; clients stopped with SIGTERM, the kill came 1.5 s late, and bursts asked for up to 32 times the rate, beyond the third of a router's descriptors that the pages give clients.

Change: a hung worker takes bytes and nothing else until it runs again, closes last; a silence ends with a reset or with what was written, unless its sender has reset the connection; single connections fall silent (CONNECTIONS_SILENT); TERM, HUP, TERM at one router beside TERM or KILL of its neighbour (ROUTER_TERM_SERIES); clients go on on open connections until the kill at the page's earliest; one seed in four has deadlines of one second; hangs last about as long as each limit. Not counted: an exit after SIGTERM before the router was ready, budgets and events that a silent link held back.

--- a/lab/src/main/java/sorrelhoist/lab/soak/FaultInjector.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/FaultInjector.java
@@ -37,7 +37,7 @@
     FaultInjector(SoakFleet fleet, List<ScheduledFault> faults) {
         this.fleet = fleet;
         log = new FaultLog(fleet.plan.folder(), fleet.timeline);
-        routerFaults = new RouterFaults(actions);
+        routerFaults = new RouterFaults(fleet, actions);
         systemFaults = new SystemFaults(actions, log);
         discoveryFaults = new DiscoveryFaults(fleet, actions);
         workerFaults = new WorkerFaults(fleet, actions);
@@ -84,6 +84,8 @@
             case WORKER_DRAINS -> workerFaults.drainAndReplace(fault);
             case WORKER_MISBEHAVES -> workerFaults.misbehave(fault);
             case LINK_SILENT -> linkFaults.silence(fault);
+            case CONNECTIONS_SILENT -> linkFaults.silenceConnections(fault);
+            case ROUTER_TERM_SERIES -> routerFaults.terminateSeries(fault);
             case LINK_RESET -> linkFaults.reset(fault);
             case CLIENTS_IDLE_CROWD -> clientFaults.openIdleConnections(fault);
             case CLIENTS_BAD_CROWD -> clientFaults.openMalformedConnections(fault);
--- a/lab/src/main/java/sorrelhoist/lab/soak/FaultProxy.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/FaultProxy.java
@@ -1,6 +1,9 @@
 package sorrelhoist.lab.soak;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,6 +13,7 @@
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import sorrelhoist.protocol.net.LoopbackTransport;
 
@@ -19,12 +23,15 @@
  */
 final class FaultProxy {
     private static final long CONNECT_TIMEOUT_MICROS = 2_000_000;
+    private static final int MAX_READS_PER_TURN = 64;
     private final EventLoop loop;
     private final WorkerStandIn worker;
     private final Set<Link> links = new HashSet<>();
     private volatile Channel listener;
     private int port;
-    private boolean silent;
+
+    /** How many faults silence it now; they may overlap. */
+    private int silences;
 
     FaultProxy(EventLoop loop, WorkerStandIn worker) {
         this.loop = loop;
@@ -58,31 +65,63 @@
         List.copyOf(links).forEach(Link::reset);
     }
 
-    /**
-     * Passes nothing on, or does again. When that ends, connections that were open meanwhile are
-     * reset, so that nothing arrives late.
-     */
-    void setSilent(boolean on) {
-        silent = on;
-        if (on) {
-            links.forEach(Link::freeze);
-        } else {
-            links.stream().filter(link -> link.frozen).toList().forEach(Link::reset);
+    /** What becomes of connections that were silent. */
+    enum AfterSilence {
+        /** They are reset, so that nothing arrives late. */
+        RESET,
+        /** What was written meanwhile arrives, unless its sender has reset the connection. */
+        DELIVER
+    }
+
+    /** Passes nothing on from now on. */
+    void silence() {
+        silences++;
+        links.forEach(Link::freeze);
+    }
+
+    /** Passes everything on again, unless another silence lasts. */
+    void endSilence(AfterSilence after) {
+        silences--;
+        if (silences == 0) {
+            links.stream().filter(link -> link.frozen).toList().forEach(link -> link.thaw(after));
         }
     }
 
+    /** Passes nothing on from some of the connections that are open, until they are reset. */
+    Runnable silenceConnections(Random random, double share) {
+        List<Link> chosen =
+                links.stream().filter(link -> !link.frozen && random.nextDouble() < share).toList();
+        chosen.forEach(Link::freeze);
+        AfterSilence after = random.nextBoolean() ? AfterSilence.RESET : AfterSilence.DELIVER;
+        return () -> {
+            if (silences == 0) {
+                chosen.forEach(link -> link.thaw(after));
+            }
+        };
+    }
+
     /** One connection of the router, and the one to the worker behind it. */
     private final class Link extends ChannelInboundHandlerAdapter {
         private Channel routerSide;
         private Channel workerSide;
         private boolean frozen;
 
+        /** What came while it was silent, until it is known whether its sender has reset it. */
+        private CompositeByteBuf backlog;
+
         @Override
         public void channelActive(ChannelHandlerContext context) {
             routerSide = context.channel();
             links.add(this);
             routerSide.config().setAutoRead(false);
-            if (silent) {
+            // Reads to the end of what there is, so that a reset behind it is seen with it.
+            routerSide
+                    .config()
+                    .setRecvByteBufAllocator(
+                            new AdaptiveRecvByteBufAllocator()
+                                    .respectMaybeMoreData(false)
+                                    .maxMessagesPerRead(MAX_READS_PER_TURN));
+            if (silences > 0) {
                 frozen = true;
                 return;
             }
@@ -96,7 +135,26 @@
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            workerSide.writeAndFlush(message);
+            if (backlog != null) {
+                backlog.addComponent(true, (ByteBuf) message);
+            } else {
+                workerSide.writeAndFlush(message);
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (backlog != null) {
+                // In a task of its own: a reset is reported right after this.
+                loop.execute(this::deliverBacklog);
+            }
+        }
+
+        private void deliverBacklog() {
+            if (backlog != null) {
+                workerSide.writeAndFlush(backlog);
+                backlog = null;
+            }
         }
 
         private void connected(Channel channel) {
@@ -116,6 +174,23 @@
             }
         }
 
+        /**
+         * Speaks again. What a sender's system had not sent when it reset the connection is lost.
+         */
+        void thaw(AfterSilence after) {
+            if (!frozen || !links.contains(this)) {
+                return;
+            }
+            if (after == AfterSilence.RESET || workerSide == null || !workerSide.isActive()) {
+                reset();
+                return;
+            }
+            frozen = false;
+            backlog = Unpooled.compositeBuffer();
+            routerSide.config().setAutoRead(true);
+            workerSide.config().setAutoRead(true);
+        }
+
         void reset() {
             abort(routerSide);
             if (workerSide != null) {
@@ -133,6 +208,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             links.remove(this);
+            deliverBacklog();
             if (workerSide != null && workerSide.isActive()) {
                 workerSide
                         .writeAndFlush(Unpooled.EMPTY_BUFFER)
@@ -142,6 +218,11 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (backlog != null) {
+                backlog.release();
+                backlog = null;
+                abort(workerSide);
+            }
             context.close();
         }
     }
--- a/lab/src/main/java/sorrelhoist/lab/soak/LinkFaults.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/LinkFaults.java
@@ -1,10 +1,13 @@
 package sorrelhoist.lab.soak;
 
+import java.util.ArrayList;
 import java.util.List;
 import sorrelhoist.lab.soak.FaultInjector.Injection;
+import sorrelhoist.lab.soak.FaultProxy.AfterSilence;
 
 /** Disturbs the links between routers and workers. */
 final class LinkFaults {
+    private static final double SILENT_SHARE = 0.5;
     private final SoakFleet fleet;
     private final ActionQueue actions;
 
@@ -20,15 +23,40 @@
                 fault.random().nextBoolean()
                         ? List.copyOf(router.links.subList(0, router.links.size() / 2))
                         : List.of(router.links.get(fault.worker().index));
-        fleet.runOnLoop(() -> links.forEach(link -> link.setSilent(true)));
+        AfterSilence after =
+                fault.random().nextBoolean() ? AfterSilence.RESET : AfterSilence.DELIVER;
+        fleet.runOnLoop(() -> links.forEach(FaultProxy::silence));
+        recordFaults(router, links, fault.lastsMillis());
+        actions.schedule(
+                fault.lastsMillis(),
+                () -> fleet.runOnLoop(() -> links.forEach(link -> link.endSilence(after))));
+    }
+
+    /**
+     * Some connections of a router pass nothing on for a while, and others to the same workers do.
+     */
+    void silenceConnections(Injection fault) throws Exception {
+        RouterNode router = fault.router();
+        List<Runnable> ends = new ArrayList<>();
+        fleet.runOnLoop(
+                () ->
+                        router.links.forEach(
+                                link ->
+                                        ends.add(
+                                                link.silenceConnections(
+                                                        fault.random(), SILENT_SHARE))));
+        recordFaults(router, router.links, fault.lastsMillis());
+        actions.schedule(
+                fault.lastsMillis(), () -> fleet.runOnLoop(() -> ends.forEach(Runnable::run)));
+    }
+
+    private void recordFaults(RouterNode router, List<FaultProxy> links, long millis)
+            throws Exception {
         for (WorkerNode worker : fleet.workers) {
             if (links.contains(router.links.get(worker.index))) {
-                fleet.runOnLoop(() -> fleet.recordLinkFault(router, worker, fault.lastsMillis()));
+                fleet.runOnLoop(() -> fleet.recordLinkFault(router, worker, millis));
             }
         }
-        actions.schedule(
-                fault.lastsMillis(),
-                () -> fleet.runOnLoop(() -> links.forEach(link -> link.setSilent(false))));
     }
 
     /** All links of a router are reset. */
--- a/lab/src/main/java/sorrelhoist/lab/soak/RequestGenerator.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/RequestGenerator.java
@@ -10,15 +10,25 @@
     private static final int MIN_BODY_CHARACTERS = 200;
     private static final int BODY_CHARACTERS_SPREAD = 3000;
     private static final int SHORT_BUDGET_ONE_IN = 10;
+    private static final int BUDGET_SPREAD_MILLIS = 2500;
+    private static final long LONGEST_MILLIS = 4000;
     private static final int SESSIONS = 50;
     private static final int PREFIXES = 5;
     private static final int CHARACTERS_PER_TOKEN = 4;
     private final Random random;
+    private final long longestDeadlineMillis;
     private double largeBodyShare;
     private long count;
 
-    RequestGenerator(Random random) {
+    /**
+     * Creates a generator.
+     *
+     * @param random draws everything
+     * @param longestDeadlineMillis the longest that a client waits
+     */
+    RequestGenerator(Random random, long longestDeadlineMillis) {
         this.random = random;
+        this.longestDeadlineMillis = longestDeadlineMillis;
     }
 
     /** Makes this share of the requests carry content near the protocol's limit. */
@@ -36,10 +46,13 @@
     RequestTrace next(int router, int incarnation, boolean firstOnConnection) {
         RequestClass[] classes = RequestClass.values();
         RequestClass requestClass = classes[random.nextInt(classes.length)];
-        int budgetMillis =
+        long budgetMillis =
                 random.nextInt(SHORT_BUDGET_ONE_IN) == 0
                         ? 150 + random.nextInt(400)
-                        : 1500 + random.nextInt(2500);
+                        : longestDeadlineMillis
+                                - random.nextInt(BUDGET_SPREAD_MILLIS)
+                                        * longestDeadlineMillis
+                                        / LONGEST_MILLIS;
         count++;
         String number = Long.toString(count, Character.MAX_RADIX);
         String unique = Long.toString(random.nextInt(1 << 24), Character.MAX_RADIX);
--- a/lab/src/main/java/sorrelhoist/lab/soak/RouterEndpoint.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/RouterEndpoint.java
@@ -11,6 +11,12 @@
     /** {@return whether the front sends clients there} */
     boolean isInRotation();
 
+    /** {@return whether it was told to end and has not yet} */
+    boolean isEnding();
+
+    /** {@return how many connections its clients may hold for requests} */
+    int maxClientConnections();
+
     /** {@return host and port} */
     String address();
 }
--- a/lab/src/main/java/sorrelhoist/lab/soak/RouterNode.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/RouterNode.java
@@ -12,6 +12,10 @@
 final class RouterNode implements RouterEndpoint {
     private static final int MEMORY_MB = 160;
     private static final int SOCKETS = 256;
+
+    /** Of a router's descriptors, clients hold one part in so many for requests. */
+    private static final int CLIENT_SHARE = 3;
+
     final DiscoveryStandIn[] discoveryAgents;
     final List<FaultProxy> links = new ArrayList<>();
     final RouterProcess process;
@@ -83,6 +87,17 @@
         return inRotation;
     }
 
+    @Override
+    public boolean isEnding() {
+        return incarnation.terminatedAt != RequestTrace.NEVER
+                && incarnation.endedAt == RequestTrace.NEVER;
+    }
+
+    @Override
+    public int maxClientConnections() {
+        return SOCKETS / CLIENT_SHARE;
+    }
+
     @Override
     public String address() {
         return RouterAddresses.host(number) + ":" + RouterAddresses.CLIENT_PORT;
--- a/lab/src/main/java/sorrelhoist/lab/soak/ScheduledFault.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/ScheduledFault.java
@@ -46,7 +46,9 @@
         CLIENTS_BURST,
         CLIENTS_LARGE,
         SYSTEM_CALLS_FAIL,
-        WALL_CLOCK_STEPS;
+        WALL_CLOCK_STEPS,
+        CONNECTIONS_SILENT,
+        ROUTER_TERM_SERIES;
 
         /** {@return whether it needs the library of system-call faults} */
         public boolean needsLibrary() {
--- a/lab/src/main/java/sorrelhoist/lab/soak/SoakFleet.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/SoakFleet.java
@@ -14,7 +14,7 @@
  */
 final class SoakFleet implements AutoCloseable {
     final SoakPlan plan;
-    final FleetRules rules = FleetRules.ORDINARY;
+    final FleetRules rules;
     final TrafficLog log = new TrafficLog();
     final FleetTimeline timeline = new FleetTimeline();
     final List<RouterNode> routers = new ArrayList<>();
@@ -25,6 +25,7 @@
     /** Creates a fleet whose workers run and whose routers do not. */
     SoakFleet(SoakPlan plan) throws Exception {
         this.plan = plan;
+        rules = FleetRules.ofSeed(plan.seed());
         Files.createDirectories(plan.folder());
         for (int i = 0; i < plan.workers(); i++) {
             workers.add(newWorker(i));
@@ -38,6 +39,7 @@
                         log,
                         plan.seed(),
                         List.copyOf(routers),
+                        rules,
                         plan.requestsPerSecond());
         for (WorkerNode worker : workers) {
             worker.announce();
--- a/lab/src/main/java/sorrelhoist/lab/soak/StreamCheck.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/StreamCheck.java
@@ -36,6 +36,7 @@
     private void checkDelay(RequestTrace request, RouterIncarnation router) {
         if (request.maxEventDelay > EVENT_DELAY_LIMIT + Tolerances.TIMESTAMP
                 && !request.readSlowly
+                && request.attempts.stream().noneMatch(a -> cameLate(request, a))
                 && router.killedAt > request.sentAt + request.budgetNanos) {
             long millis = TimeUnit.NANOSECONDS.toMillis(request.maxEventDelay);
             violations.add(
@@ -47,6 +48,13 @@
         }
     }
 
+    /** Whether a link held bytes of a stream back, which reach the router late then. */
+    private boolean cameLate(RequestTrace request, AttemptTrace attempt) {
+        long until = Math.min(attempt.endedAt, timeline.lastObservedAt());
+        return timeline.wasLinkFaulty(
+                request.router, attempt.worker, attempt.firstByteAt, until + EVENT_DELAY_LIMIT);
+    }
+
     private void checkFinishedByWorker(RequestTrace request) {
         if (request.attempts.stream().noneMatch(attempt -> attempt.streamFinished)) {
             violations.add(
