Bound delivery times for odd limits, and signal only the process that a soak's row began with

Read: a release limit of a few microseconds would have let DeliveryMonitor check an attempt again without end in one turn; DeliveryPolicy takes limits under 20 ms or over an hour for the nearest of these (DeliveryMonitorTest).

--- a/core/src/main/java/sorrelhoist/core/delivery/DeliveryPolicy.java
+++ b/core/src/main/java/sorrelhoist/core/delivery/DeliveryPolicy.java
@@ -20,6 +20,16 @@
     private static final int ATTEMPT_SHARES = 4;
     private static final int QUESTION_FACTOR = 2;
 
+    /** The shares of a shorter limit would be within what a turn of the router takes. */
+    private static final long MIN_LIMIT_MICROS = 20_000;
+
+    private static final long MAX_LIMIT_MICROS = 3_600_000_000L;
+
+    /** Takes a limit that is not sensible for the nearest that is. */
+    public DeliveryPolicy {
+        limitMicros = Math.min(MAX_LIMIT_MICROS, Math.max(MIN_LIMIT_MICROS, limitMicros));
+    }
+
     private long shares(int number) {
         return limitMicros * number / SHARES;
     }
--- a/core/src/test/java/sorrelhoist/core/delivery/DeliveryMonitorTest.java
+++ b/core/src/test/java/sorrelhoist/core/delivery/DeliveryMonitorTest.java
@@ -187,6 +187,17 @@
         assertEquals(List.of("a"), delivered);
     }
 
+    @Test
+    void limitsThatAreNotSensibleLeaveTimeToAskAndToAnswer() {
+        for (long limit : new long[] {0, 1, Long.MAX_VALUE}) {
+            DeliveryPolicy policy = new DeliveryPolicy(limit);
+            assertTrue(policy.askAfterMicros() > 0);
+            assertTrue(policy.attemptMicros() > 0);
+            assertTrue(policy.askAfterMicros() < policy.confirmAfterMicros());
+            assertTrue(policy.confirmAfterMicros() < policy.limitMicros());
+        }
+    }
+
     @Test
     void anAttemptThatEndedIsNotReported() {
         written();
--- a/lab/src/main/java/sorrelhoist/lab/soak/FaultProxy.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/FaultProxy.java
@@ -43,7 +43,7 @@
      * it waits.
      */
     void open() throws IOException {
-        listener = LoopbackTransport.listen(loop, port, Link::new);
+        listener = StandInListener.listen(loop, port, Link::new);
         port = LoopbackTransport.localPort(listener);
     }
 
--- a/lab/src/main/java/sorrelhoist/lab/soak/RouterFaults.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/RouterFaults.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import sorrelhoist.lab.soak.FaultInjector.Injection;
+import sorrelhoist.lab.soak.FleetTimeline.RouterIncarnation;
 
 /** Ends, pauses and reloads router processes. */
 final class RouterFaults {
@@ -43,8 +44,9 @@
         }
         terminate(router);
         long gap = fault.random().nextInt(MAX_SIGNAL_GAP_MILLIS);
-        actions.schedule(gap, () -> signalIfAlive(router, "HUP"));
-        actions.schedule(2 * gap, () -> signalIfAlive(router, "TERM"));
+        RouterIncarnation ending = router.currentIncarnation();
+        actions.schedule(gap, () -> signalIfAlive(router, ending, "HUP"));
+        actions.schedule(2 * gap, () -> signalIfAlive(router, ending, "TERM"));
         RouterNode neighbour = fleet.routers.get((router.number() + 1) % fleet.routers.size());
         boolean killed = fault.random().nextBoolean();
         actions.schedule(
@@ -58,8 +60,10 @@
                 });
     }
 
-    private static void signalIfAlive(RouterNode router, String signal) throws Exception {
-        if (router.process.isAlive()) {
+    /** Signals a process, but not the one that has taken its place. */
+    private static void signalIfAlive(
+            RouterNode router, RouterIncarnation incarnation, String signal) throws Exception {
+        if (router.currentIncarnation() == incarnation && router.process.isAlive()) {
             router.process.signal(signal);
         }
     }
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
@@ -61,7 +61,7 @@
      * on the event loop.
      */
     void start() throws IOException {
-        listener = LoopbackTransport.listen(loop, port, () -> new WorkerConnection(this));
+        listener = StandInListener.listen(loop, port, () -> new WorkerConnection(this));
         port = LoopbackTransport.localPort(listener);
     }
 
