Spend the retry budget on requests that are sent elsewhere, and keep late arrivals past a stream

At fault: RequestLifecycle.retry took attempts that nothing confirmed for free, so in a cut that half of the fleet is behind, requests were sent again and again and read anew.

A stream that began cleared the hold of another prefill that may arrive late, as its settling time was over (Reservation.taken); LateArrivalReleaseTest fails without the mend.

--- a/app/src/test/java/sorrelhoist/lab/soak/SoakTest.java
+++ b/app/src/test/java/sorrelhoist/lab/soak/SoakTest.java
@@ -134,7 +134,10 @@
         RequestTrace request = request(FleetRules.RequestClass.SAFE);
         attempt(request, Role.READ, "w0", start + SECOND).endedAt = start + 3 * SECOND / 2;
         attempt(request, Role.WRITE, "w1", start + SECOND + SECOND / 10);
+        timeline.recordLinkFault(1, "w0", start + SECOND, start + 2 * SECOND);
         assertViolations(Invariant.ONE_ATTEMPT_AT_A_TIME);
+        timeline.recordLinkFault(0, "w0", start + SECOND, start + 2 * SECOND);
+        assertViolations();
     }
 
     @Test
--- a/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
@@ -127,7 +127,7 @@
      * leave.
      */
     void taken(long now) {
-        holds.removeIf(open -> open.provableFrom() <= now);
+        holds.removeIf(open -> open.provableFrom() <= now && !open.awaitsEngine());
         attempt = null;
         unwanted = true;
         callableFrom = nextProvable(now);
--- a/core/src/test/java/sorrelhoist/core/reservation/LateArrivalReleaseTest.java
+++ b/core/src/test/java/sorrelhoist/core/reservation/LateArrivalReleaseTest.java
@@ -67,4 +67,23 @@
         answerLast(true);
         assertEquals(0, table.size());
     }
+
+    /** The stream took the state of another prefill. */
+    @Test
+    void aStreamThatBeganDoesNotEndTheWaitForWhatMayArriveLate() {
+        table.opened(KEY, Hold.ofUndeliveredPrefill("r0", 0), now);
+        table.prefillCompleted(KEY, Hold.ofPrefillState("r1", ""), now);
+        passTo(POLICY.settleMicros() - 1);
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
+        passTo(2 * POLICY.settleMicros());
+        table.taken(KEY, now);
+        assertEquals(1, table.size());
+        passTo(now);
+        answerLast(true);
+        passTo(10 * LIMIT);
+        int before = calls.size();
+        table.engineHeard("r0", now);
+        passTo(now + POLICY.settleMicros());
+        assertEquals(before + 1, calls.size());
+    }
 }
--- a/decide/src/main/java/sorrelhoist/routing/DeliveryFailover.java
+++ b/decide/src/main/java/sorrelhoist/routing/DeliveryFailover.java
@@ -4,13 +4,14 @@
 import sorrelhoist.routing.Reason.Kind;
 import sorrelhoist.routing.RoutingActions.Cancel;
 import sorrelhoist.routing.RoutingEvents.DeliveryUnconfirmed;
-import sorrelhoist.routing.RoutingSettings.Idempotency;
 import sorrelhoist.routing.RoutingSettings.Role;
 
 /**
  * Decides what follows where nothing shows that an attempt has reached its endpoint: others are
  * preferred to that endpoint for a while, and the request is sent to another one where a repeat is
- * harmless. What may not be repeated waits on: the attempt may yet arrive.
+ * harmless and the budget of retries has one left: where half of a fleet is silent, everything that
+ * is sent again would only pile up at the rest. What may not be repeated waits on: the attempt may
+ * yet arrive.
  */
 final class DeliveryFailover {
     /**
@@ -22,11 +23,17 @@
     private final RoutingContext context;
     private final CandidateFilter filter;
     private final OutcomeRecorder outcomes;
+    private final RetryBudget retries;
 
-    DeliveryFailover(RoutingContext context, CandidateFilter filter, OutcomeRecorder outcomes) {
+    DeliveryFailover(
+            RoutingContext context,
+            CandidateFilter filter,
+            OutcomeRecorder outcomes,
+            RetryBudget retries) {
         this.context = context;
         this.filter = filter;
         this.outcomes = outcomes;
+        this.retries = retries;
     }
 
     /** Nothing shows that a request's attempt in flight has reached its endpoint. */
@@ -47,12 +54,21 @@
                 && !request.streaming
                 && !request.answered
                 && attemptsLeft >= attemptsNeeded
+                && !retries.isExhausted()
                 && (attempt.prefill || isRepeatable(request))
                 && hasAlternative(request, attempt);
     }
 
+    /**
+     * A keyed decode that reads its prompt by itself may arrive after its window, and have its
+     * effect once more then. One that needs a prefilled state finds that gone.
+     */
     private static boolean isRepeatable(TrackedRequest request) {
-        return request.requestClass.idempotency() != Idempotency.UNSAFE;
+        return switch (request.requestClass.idempotency()) {
+            case SAFE -> true;
+            case KEYED -> request.prefilledAt != null;
+            case UNSAFE -> false;
+        };
     }
 
     private boolean hasAlternative(TrackedRequest request, Attempt attempt) {
--- a/decide/src/main/java/sorrelhoist/routing/RequestLifecycle.java
+++ b/decide/src/main/java/sorrelhoist/routing/RequestLifecycle.java
@@ -103,16 +103,8 @@
 
     private void retry(TrackedRequest request, Attempt attempt, AttemptEnded event) {
         Outcome outcome = event.outcome();
-        // What reached no endpoint has cost none anything, so that retries cannot pile up there.
-        boolean free =
-                outcome == Outcome.CONNECT_FAILED
-                        || outcome == Outcome.FULL
-                        || attempt.wasNeverConfirmed(outcome);
-        boolean neverRan =
-                attempt.prefill
-                        || outcome == Outcome.CONNECT_FAILED
-                        || outcome == Outcome.FULL
-                        || outcome == Outcome.SKIPPED;
+        boolean free = outcome == Outcome.CONNECT_FAILED || outcome == Outcome.FULL;
+        boolean neverRan = attempt.prefill || free || outcome == Outcome.SKIPPED;
         if (!neverRan && request.mayHaveRunAt == null) {
             request.mayHaveRunAt = attempt.endpoint;
             request.mayHaveRunFrom = attempt.sentAt;
--- a/decide/src/main/java/sorrelhoist/routing/RoutingPolicy.java
+++ b/decide/src/main/java/sorrelhoist/routing/RoutingPolicy.java
@@ -72,14 +72,15 @@
         OutcomeRecorder outcomes =
                 new OutcomeRecorder(
                         context, prefixes, serviceTimes, delays, outliers, gossipSender);
+        RetryBudget retries = new RetryBudget(context);
         lifecycle =
                 new RequestLifecycle(
                         context,
                         requests,
                         createStages(filter, conclusion),
                         outcomes,
-                        new RetryBudget(context),
-                        new DeliveryFailover(context, filter, outcomes),
+                        retries,
+                        new DeliveryFailover(context, filter, outcomes, retries),
                         conclusion);
     }
 
