Log the whole history of what a request's decode did not take

ReservationTable keeps a bounded history of each reservation (held, sent, written, delivered, ended and how, releases sent, answered and abandoned, engines heard) and reports it in one line where a decode has ended without taking its state, and once where it has waited for longer than the limit. That line takes the place of event=release (asked, done). How an attempt ended is now a type of its own in place of a flag; no decision changes.

--- a/core/src/main/java/sorrelhoist/core/request/Command.java
+++ b/core/src/main/java/sorrelhoist/core/request/Command.java
@@ -1,7 +1,7 @@
 package sorrelhoist.core.request;
 
 import sorrelhoist.core.delivery.AttemptDelivery;
-import sorrelhoist.core.reservation.ReleaseCause;
+import sorrelhoist.core.reservation.ReservationReport;
 import sorrelhoist.routing.Reason;
 
 /** What a {@link Router} has its transport do, in the order in which it is given. */
@@ -151,8 +151,6 @@
      * @param decodeSlot the slot's name; may be empty
      * @param upToAttempt where neither is named: the last attempt whose state is meant, so that a
      *     later prefill at the same engine keeps its own
-     * @param cause why it is sent
-     * @param heldMicros how long what is held has waited
      */
     record ReleaseReservation(
             long releaseId,
@@ -160,9 +158,7 @@
             String engine,
             String prefillState,
             String decodeSlot,
-            int upToAttempt,
-            ReleaseCause cause,
-            long heldMicros)
+            int upToAttempt)
             implements Command {
         @Override
         public void accept(CommandHandler handler) {
@@ -298,6 +294,18 @@
         }
     }
 
+    /**
+     * Report what became of a reservation that was not taken in the ordinary way.
+     *
+     * @param report what the line says
+     */
+    record ReportReservation(ReservationReport report) implements Command {
+        @Override
+        public void accept(CommandHandler handler) {
+            handler.reportReservation(this);
+        }
+    }
+
     /**
      * Report that an attempt was taken for undelivered, or has arrived although it was.
      *
--- a/core/src/main/java/sorrelhoist/core/request/EngineCommands.java
+++ b/core/src/main/java/sorrelhoist/core/request/EngineCommands.java
@@ -29,6 +29,9 @@
     /** Reports what no engine has released in time. */
     void reportExpiredRelease(Command.ReportExpiredRelease command);
 
+    /** Reports what became of a reservation that was not taken in the ordinary way. */
+    void reportReservation(Command.ReportReservation command);
+
     /** Closes idle connections. */
     void closeIdleConnections(Command.CloseIdleConnections command);
 }
--- a/core/src/main/java/sorrelhoist/core/request/RequestReservations.java
+++ b/core/src/main/java/sorrelhoist/core/request/RequestReservations.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import sorrelhoist.core.reservation.AttemptEnding;
 import sorrelhoist.core.reservation.AttemptPurpose;
 import sorrelhoist.core.reservation.EngineActivity;
 import sorrelhoist.core.reservation.Hold;
@@ -14,6 +15,7 @@
 import sorrelhoist.core.reservation.ReleasePolicy;
 import sorrelhoist.core.reservation.ReleaseReach;
 import sorrelhoist.core.reservation.ReservationKey;
+import sorrelhoist.core.reservation.ReservationReport;
 import sorrelhoist.core.reservation.ReservationTable;
 import sorrelhoist.routing.RoutingEvents.ListUpdateKind;
 import sorrelhoist.routing.RoutingEvents.Outcome;
@@ -74,9 +76,7 @@
                             call.engine(),
                             hold.prefillState(),
                             hold.decodeSlot(),
-                            hold.upToAttempt(),
-                            call.cause(),
-                            call.heldMicros()));
+                            hold.upToAttempt()));
         }
 
         @Override
@@ -88,6 +88,11 @@
         public void expired(ReservationKey key, String engine, int calls) {
             commands.accept(new Command.ReportExpiredRelease(key.requestName(), engine, calls));
         }
+
+        @Override
+        public void report(ReservationReport report) {
+            commands.accept(new Command.ReportReservation(report));
+        }
     }
 
     // Engines
@@ -128,7 +133,7 @@
 
     /** An engine left the list: nothing that was on its way there arrives any more. */
     void engineRemoved(String engine) {
-        table.engineRemoved(engine);
+        table.engineRemoved(engine, clock.now());
     }
 
     // Attempts
@@ -144,9 +149,9 @@
         }
         AttemptPurpose purpose = purposeOf(attempt);
         for (ReservationKey key : keysOf(request)) {
-            table.attemptSent(key, purpose);
+            table.attemptSent(key, purpose, attempt.engine, clock.now());
             // Unless its transport says that it has to be written first.
-            table.attemptDelivered(key);
+            table.attemptDelivered(key, clock.now());
         }
     }
 
@@ -164,7 +169,7 @@
 
     /** The running attempt waits for a connection. */
     void connecting(RequestState request) {
-        keysOf(request).forEach(table::attemptConnecting);
+        keysOf(request).forEach(key -> table.attemptConnecting(key, clock.now()));
     }
 
     /** The last byte of the running attempt was written. */
@@ -174,7 +179,7 @@
 
     /** The running attempt's engine has it. */
     void delivered(RequestState request) {
-        keysOf(request).forEach(table::attemptDelivered);
+        keysOf(request).forEach(key -> table.attemptDelivered(key, clock.now()));
     }
 
     /** {@return since when something that is held for a request waits; now where nothing is} */
@@ -204,9 +209,16 @@
                 table.unwanted(key, clock.now());
             }
         }
-        // An attempt that may not have arrived has not stopped the time of what is held.
-        boolean reached = written && attempt.delivery.isDelivered();
-        keysOf(attempt.request).forEach(key -> table.attemptEnded(key, reached, clock.now()));
+        AttemptEnding ending = written ? endingOf(outcome) : AttemptEnding.NOT_SENT;
+        keysOf(attempt.request).forEach(key -> table.attemptEnded(key, ending, clock.now()));
+    }
+
+    private static AttemptEnding endingOf(Outcome outcome) {
+        return switch (outcome) {
+            case DONE, READ, ERROR, FULL -> AttemptEnding.ANSWERED;
+            case TIMED_OUT, CANCELLED -> AttemptEnding.GIVEN_UP;
+            default -> AttemptEnding.LOST;
+        };
     }
 
     private static Hold holdOfLostPrefill(Attempt attempt, boolean givenUp) {
@@ -235,7 +247,8 @@
      * engine cannot reach it.
      */
     void prefillStateNotFetched(RequestState request) {
-        keysOf(request).forEach(key -> table.attemptEnded(key, true, clock.now()));
+        keysOf(request)
+                .forEach(key -> table.attemptEnded(key, AttemptEnding.ANSWERED, clock.now()));
         dropPrefillState(request);
     }
 
@@ -280,8 +293,9 @@
             table.unwanted(key, clock.now());
         }
         if (request.runningAttempt != null && request.runningAttempt.prefill) {
-            table.attemptSent(key, AttemptPurpose.PREFILL);
-            table.attemptDelivered(key);
+            String prefillEngine = request.runningAttempt.engine;
+            table.attemptSent(key, AttemptPurpose.PREFILL, prefillEngine, clock.now());
+            table.attemptDelivered(key, clock.now());
         }
     }
 
--- a/core/src/main/java/sorrelhoist/core/reservation/ReleaseCall.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReleaseCall.java
@@ -8,13 +8,5 @@
  * @param engine which engine to call
  * @param hold what to release; where any engine releases all of a request's reservations, the
  *     latest of them
- * @param cause why it is sent
- * @param heldMicros how long what is held has waited
  */
-public record ReleaseCall(
-        long id,
-        String requestName,
-        String engine,
-        Hold hold,
-        ReleaseCause cause,
-        long heldMicros) {}
+public record ReleaseCall(long id, String requestName, String engine, Hold hold) {}
--- a/core/src/main/java/sorrelhoist/core/reservation/ReleaseClient.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReleaseClient.java
@@ -19,4 +19,7 @@
      * @param calls how many were made
      */
     void expired(ReservationKey key, String engine, int calls);
+
+    /** A reservation is worth a line in the log. */
+    void report(ReservationReport report);
 }
--- a/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
@@ -22,6 +22,7 @@
     /** The running attempt. */
     private static final class Attempt {
         final AttemptPurpose purpose;
+        final String engine;
 
         /** Whether the holds were being released until this attempt went out. */
         final boolean stoppedRelease;
@@ -29,13 +30,15 @@
         Progress progress = Progress.CONNECTING;
         long writtenAt;
 
-        Attempt(AttemptPurpose purpose, boolean stoppedRelease) {
+        Attempt(AttemptPurpose purpose, String engine, boolean stoppedRelease) {
             this.purpose = purpose;
+            this.engine = engine;
             this.stoppedRelease = stoppedRelease;
         }
     }
 
     final ReservationKey key;
+    final ReservationHistory history = new ReservationHistory();
 
     /** The time of the table's timer for it; Long.MAX_VALUE for none. */
     long timerAt = Long.MAX_VALUE;
@@ -54,6 +57,13 @@
     private long expiresAt = Long.MAX_VALUE;
     private int callsMade;
     private String lastAsked = "";
+    private int releasesMade;
+
+    /** Whether an attempt that was to take what is held has ended without a stream. */
+    private boolean takeFailed;
+
+    /** Whether it was reported that it has waited for too long. */
+    private boolean overdueReported;
 
     Reservation(ReservationKey key, ReleasePolicy policy, long now) {
         this.key = key;
@@ -64,33 +74,38 @@
     // What happens to its request
 
     void opened(Hold hold, long now) {
+        history.add(ReservationStep.HELD, hold.engine(), now);
         holds.add(OpenHold.opened(hold, policy, now));
         callableFrom = Math.min(callableFrom, now);
     }
 
-    void attemptSent(AttemptPurpose purpose) {
-        attempt = new Attempt(purpose, unwanted);
+    void attemptSent(AttemptPurpose purpose, String engine, long now) {
+        history.add(ReservationStep.SENT, engine, now);
+        attempt = new Attempt(purpose, engine, unwanted);
         unwanted = false;
     }
 
     /** The attempt's last byte was written; nothing shows yet that its engine has it. */
     void attemptWritten(long now) {
         if (attempt != null) {
+            history.add(ReservationStep.WRITTEN, attempt.engine, now);
             attempt.progress = Progress.WRITTEN;
             attempt.writtenAt = now;
         }
     }
 
     /** The attempt's engine has it. */
-    void attemptDelivered() {
+    void attemptDelivered(long now) {
         if (attempt != null) {
+            history.add(ReservationStep.DELIVERED, attempt.engine, now);
             attempt.progress = Progress.DELIVERED;
         }
     }
 
     /** A connection to the attempt's engine has to come up first. */
-    void attemptConnecting() {
+    void attemptConnecting(long now) {
         if (attempt != null) {
+            history.add(ReservationStep.CONNECTING, attempt.engine, now);
             attempt.progress = Progress.CONNECTING;
         }
     }
@@ -104,7 +119,12 @@
      * The attempt ended. Where it never reached its engine, the time of what is held has run on,
      * and a release that had begun before it goes on.
      */
-    void attemptEnded(boolean reached, long now) {
+    void attemptEnded(AttemptEnding ending, long now) {
+        boolean reached = hasReachedEngine(ending);
+        if (attempt != null) {
+            history.add(ReservationStep.of(ending), attempt.engine, now);
+            takeFailed |= attempt.purpose == AttemptPurpose.DECODE_RESERVED;
+        }
         if (attempt != null && attempt.stoppedRelease && !reached) {
             unwanted = true;
             callableFrom = Math.min(callableFrom, now);
@@ -113,8 +133,20 @@
         idleSince = reached ? now : idleSince;
     }
 
+    /** An attempt that may not have arrived has not stopped the time of what is held. */
+    private boolean hasReachedEngine(AttemptEnding ending) {
+        return switch (ending) {
+            case ANSWERED -> true;
+            case NOT_SENT -> false;
+            case LOST, GIVEN_UP -> attempt == null || attempt.progress == Progress.DELIVERED;
+        };
+    }
+
     /** Nothing will take what is held any more. */
-    void unwanted() {
+    void unwanted(long now) {
+        if (!unwanted) {
+            history.add(ReservationStep.UNWANTED, "", now);
+        }
         unwanted = true;
     }
 
@@ -127,7 +159,9 @@
      * leave.
      */
     void taken(long now) {
+        history.add(ReservationStep.TAKEN, "", now);
         holds.removeIf(open -> open.provableFrom() <= now && !open.awaitsEngine());
+        takeFailed = false;
         attempt = null;
         unwanted = true;
         callableFrom = nextProvable(now);
@@ -148,12 +182,18 @@
 
     /** An engine is reachable again: what was on its way there arrives now, or never. */
     void engineHeard(String engine, long now) {
+        if (holds.stream().anyMatch(open -> open.awaits(engine))) {
+            history.add(ReservationStep.ENGINE_HEARD, engine, now);
+        }
         holds.replaceAll(open -> open.engineHeard(engine, policy, now));
         callableFrom = Math.min(callableFrom, nextProvable(now));
     }
 
     /** An engine is gone, and what may have been held there with it. */
-    void engineRemoved(String engine) {
+    void engineRemoved(String engine, long now) {
+        if (holds.stream().anyMatch(open -> open.awaits(engine))) {
+            history.add(ReservationStep.ENGINE_REMOVED, engine, now);
+        }
         holds.removeIf(open -> open.awaits(engine));
     }
 
@@ -224,10 +264,12 @@
 
     /** A call was made. */
     void called(long call, String engine, long now) {
+        history.add(ReservationStep.RELEASE_SENT, engine, now);
         calls.put(call, now);
         asked.add(engine);
         lastAsked = engine;
         callsMade++;
+        releasesMade++;
         waitForAnswer(now);
     }
 
@@ -242,7 +284,11 @@
 
     /** A call ended without a release: another engine is asked, the first few at once. */
     void callFailed(long call, boolean others, long now) {
-        if (calls.remove(call) != null && others && callsMade < CALLS_BEFORE_BACKOFF) {
+        if (calls.remove(call) == null) {
+            return;
+        }
+        history.add(ReservationStep.RELEASE_FAILED, "", now);
+        if (others && callsMade < CALLS_BEFORE_BACKOFF) {
             callableFrom = now;
         }
     }
@@ -251,11 +297,12 @@
      * A call released all that could be proven when it was made. {@return whether the call was
      * waited for}
      */
-    boolean callDone(long call) {
+    boolean callDone(long call, long now) {
         Long madeAt = calls.remove(call);
         if (madeAt == null) {
             return false;
         }
+        history.add(ReservationStep.RELEASE_PROVEN, "", now);
         holds.replaceAll(open -> open.released(policy, madeAt));
         holds.removeIf(open -> open.provableFrom() <= madeAt);
         callableFrom = nextProvable(0);
@@ -264,8 +311,11 @@
     }
 
     /** {@return the calls that are not waited for any more} */
-    List<Long> abandonCalls() {
+    List<Long> abandonCalls(long now) {
         List<Long> abandoned = List.copyOf(calls.keySet());
+        if (!abandoned.isEmpty()) {
+            history.add(ReservationStep.RELEASES_ABANDONED, "", now);
+        }
         calls.clear();
         resetCalls();
         return abandoned;
@@ -288,4 +338,24 @@
     String lastAsked() {
         return lastAsked.isEmpty() && !holds.isEmpty() ? latest().engine() : lastAsked;
     }
+
+    // Reports
+
+    /** {@return whether its end is worth a line: what was to take it has not} */
+    boolean isWorthReporting() {
+        return takeFailed;
+    }
+
+    /** {@return whether it has waited for longer than the limit, said once} */
+    boolean becameOverdue(long now) {
+        boolean overdue =
+                !overdueReported && attempt == null && now - idleSince > policy.limitMicros();
+        overdueReported |= overdue;
+        return overdue;
+    }
+
+    ReservationReport report(ReservationReport.State state, long now) {
+        return new ReservationReport(
+                key.requestName(), state, now - idleSince, releasesMade, history.toString());
+    }
 }
--- a/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
@@ -64,7 +64,7 @@
     /** Something is held, or may be. */
     public void opened(ReservationKey key, Hold hold, long now) {
         if (reservations.size() >= capacity && !reservations.containsKey(key)) {
-            evictOldestUnwanted();
+            evictOldestUnwanted(now);
         }
         Reservation reservation =
                 reservations.computeIfAbsent(key, k -> new Reservation(k, policy, now));
@@ -76,25 +76,25 @@
      * A prefill ended well. Calls for what an earlier one may have left would take its state away.
      */
     public void prefillCompleted(ReservationKey key, Hold state, long now) {
-        update(key, this::abandonCalls);
+        update(key, reservation -> abandonCalls(reservation, now));
         opened(key, state, now);
     }
 
     /** An attempt goes out. */
-    public void attemptSent(ReservationKey key, AttemptPurpose purpose) {
+    public void attemptSent(ReservationKey key, AttemptPurpose purpose, String engine, long now) {
         update(
                 key,
                 reservation -> {
                     if (purpose == AttemptPurpose.DECODE_RESERVED) {
-                        abandonCalls(reservation);
+                        abandonCalls(reservation, now);
                     }
-                    reservation.attemptSent(purpose);
+                    reservation.attemptSent(purpose, engine, now);
                 });
     }
 
     /** The running attempt waits for a connection. */
-    public void attemptConnecting(ReservationKey key) {
-        update(key, Reservation::attemptConnecting);
+    public void attemptConnecting(ReservationKey key, long now) {
+        update(key, reservation -> reservation.attemptConnecting(now));
     }
 
     /**
@@ -114,8 +114,8 @@
     }
 
     /** The running attempt's engine has it, as far as evidence goes. */
-    public void attemptDelivered(ReservationKey key) {
-        update(key, Reservation::attemptDelivered);
+    public void attemptDelivered(ReservationKey key, long now) {
+        update(key, reservation -> reservation.attemptDelivered(now));
     }
 
     /** {@return since when what a key holds waits; {@code otherwise} where it holds nothing} */
@@ -133,10 +133,10 @@
     }
 
     /** An engine left the endpoint list: nothing that was on its way there arrives any more. */
-    public void engineRemoved(String engine) {
+    public void engineRemoved(String engine, long now) {
         for (Reservation reservation : List.copyOf(reservations.values())) {
-            reservation.engineRemoved(engine);
-            forgetIfEmpty(reservation);
+            reservation.engineRemoved(engine, now);
+            forgetIfEmpty(reservation, now);
         }
     }
 
@@ -144,15 +144,15 @@
      * The running attempt ended.
      *
      * @param key whose
-     * @param reached whether it can have reached its engine
+     * @param ending how
      * @param now the time
      */
-    public void attemptEnded(ReservationKey key, boolean reached, long now) {
+    public void attemptEnded(ReservationKey key, AttemptEnding ending, long now) {
         update(
                 key,
                 reservation -> {
-                    reservation.attemptEnded(reached, now);
-                    forgetIfEmpty(reservation);
+                    reservation.attemptEnded(ending, now);
+                    forgetIfEmpty(reservation, now);
                 });
     }
 
@@ -161,9 +161,9 @@
         update(
                 key,
                 reservation -> {
-                    abandonCalls(reservation);
+                    abandonCalls(reservation, now);
                     reservation.taken(now);
-                    forgetIfEmpty(reservation);
+                    forgetIfEmpty(reservation, now);
                 });
     }
 
@@ -172,8 +172,8 @@
         update(
                 key,
                 reservation -> {
-                    reservation.unwanted();
-                    forgetIfEmpty(reservation);
+                    reservation.unwanted(now);
+                    forgetIfEmpty(reservation, now);
                     advance(reservation, now);
                 });
     }
@@ -202,9 +202,9 @@
         }
         if (!done) {
             reservation.callFailed(call, policy.reach() == ReleaseReach.ANY_ENGINE, now);
-        } else if (reservation.callDone(call)) {
-            abandonCalls(reservation);
-            forgetIfEmpty(reservation);
+        } else if (reservation.callDone(call, now)) {
+            abandonCalls(reservation, now);
+            forgetIfEmpty(reservation, now);
         }
         advance(reservation, now);
         scheduleTimer(reservation);
@@ -240,7 +240,7 @@
             return;
         }
         if (reservation.isExpired(now)) {
-            expire(reservation);
+            expire(reservation, now);
             return;
         }
         String engine = targets.select(reservation.latest(), reservation.asked());
@@ -248,7 +248,7 @@
             call(reservation, engine, now);
         } else if (policy.reach() == ReleaseReach.HOLDER) {
             // Its engine left the endpoint list, and what it held went with it.
-            abandonCalls(reservation);
+            abandonCalls(reservation, now);
             reservations.remove(reservation.key);
         } else {
             // All were asked, or there are none: from the beginning, a little later.
@@ -260,46 +260,45 @@
     private void call(Reservation reservation, String engine, long now) {
         long call = ++lastCall;
         calls.put(call, reservation);
-        ReleaseCause cause = reservation.releaseCause();
-        callsByCause.merge(cause, 1L, Long::sum);
+        if (reservation.becameOverdue(now)) {
+            releaseClient.report(reservation.report(ReservationReport.State.OVERDUE, now));
+        }
+        callsByCause.merge(reservation.releaseCause(), 1L, Long::sum);
         reservation.called(call, engine, now);
         releaseClient.release(
-                new ReleaseCall(
-                        call,
-                        reservation.key.requestName(),
-                        engine,
-                        reservation.latest(),
-                        cause,
-                        now - reservation.idleSince()));
+                new ReleaseCall(call, reservation.key.requestName(), engine, reservation.latest()));
     }
 
-    private void abandonCalls(Reservation reservation) {
-        for (long call : reservation.abandonCalls()) {
+    private void abandonCalls(Reservation reservation, long now) {
+        for (long call : reservation.abandonCalls(now)) {
             calls.remove(call);
             releaseClient.abandon(call);
         }
     }
 
-    private void evictOldestUnwanted() {
+    private void evictOldestUnwanted(long now) {
         reservations.values().stream()
                 .filter(Reservation::isUnwanted)
                 .findFirst()
-                .ifPresent(this::expire);
+                .ifPresent(reservation -> expire(reservation, now));
     }
 
-    private void expire(Reservation reservation) {
+    private void expire(Reservation reservation, long now) {
         int made = reservation.callsMade();
         String engine = reservation.lastAsked();
-        abandonCalls(reservation);
+        abandonCalls(reservation, now);
         reservations.remove(reservation.key);
         expiredCount++;
         releaseClient.expired(reservation.key, engine, made);
     }
 
-    private void forgetIfEmpty(Reservation reservation) {
+    private void forgetIfEmpty(Reservation reservation, long now) {
         if (reservation.holdsNothing()) {
-            abandonCalls(reservation);
+            abandonCalls(reservation, now);
             reservations.remove(reservation.key);
+            if (reservation.isWorthReporting()) {
+                releaseClient.report(reservation.report(ReservationReport.State.RELEASED, now));
+            }
         }
     }
 
--- a/core/src/test/java/sorrelhoist/core/reservation/LateArrivalReleaseTest.java
+++ b/core/src/test/java/sorrelhoist/core/reservation/LateArrivalReleaseTest.java
@@ -33,9 +33,9 @@
     void whatAnUndeliveredPrefillMayLeaveIsGoneWithItsEngine() {
         table.opened(KEY, Hold.ofUndeliveredPrefill("r0", 0), now);
         table.unwanted(KEY, now);
-        table.engineRemoved("r1");
+        table.engineRemoved("r1", now);
         assertEquals(1, table.size());
-        table.engineRemoved("r0");
+        table.engineRemoved("r0", now);
         assertEquals(0, table.size());
     }
 
@@ -74,7 +74,7 @@
         table.opened(KEY, Hold.ofUndeliveredPrefill("r0", 0), now);
         table.prefillCompleted(KEY, Hold.ofPrefillState("r1", ""), now);
         passTo(POLICY.settleMicros() - 1);
-        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED, "w0", now);
         passTo(2 * POLICY.settleMicros());
         table.taken(KEY, now);
         assertEquals(1, table.size());
--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/reservation/ReservationReportTest.java
@@ -0,0 +1,66 @@
+package sorrelhoist.core.reservation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+import sorrelhoist.core.reservation.ReservationReport.State;
+
+/** What is reported of reservations that their decodes did not take. */
+class ReservationReportTest extends ReservationTableTestSupport {
+    private void decodeWritten() {
+        table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
+        now = 2000;
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED, "w0", now);
+        table.attemptConnecting(KEY, now);
+        table.attemptWritten(KEY, now);
+    }
+
+    @Test
+    void aDecodeThatTookItsStateIsNotReported() {
+        decodeWritten();
+        table.taken(KEY, now);
+        assertEquals(0, table.size());
+        assertEquals(0, reports.size());
+    }
+
+    @Test
+    void aStateThatNoDecodeWasSentForIsNotReported() {
+        table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
+        table.unwanted(KEY, now);
+        answerLast(true);
+        assertEquals(0, reports.size());
+    }
+
+    @Test
+    void aStateWhoseDecodeWasAnsweredByAnErrorIsReportedWithItsHistoryOnceItIsReleased() {
+        decodeWritten();
+        now = 30_000;
+        table.attemptEnded(KEY, AttemptEnding.ANSWERED, now);
+        table.unwanted(KEY, now);
+        assertEquals(0, reports.size());
+        now = 33_000;
+        answerLast(true);
+        assertEquals(1, reports.size());
+        assertEquals(
+                new ReservationReport(
+                        "a",
+                        State.RELEASED,
+                        3000,
+                        1,
+                        "+0:held@r0,+2:sent@w0,+2:connecting@w0,+2:written@w0,+30:answered@w0,"
+                                + "+30:unwanted,+30:release-sent@r0,+33:release-proven"),
+                reports.get(0));
+    }
+
+    @Test
+    void aStateThatNoEngineReleasesIsReportedOnceWhenItsLimitIsOver() {
+        decodeWritten();
+        table.attemptEnded(KEY, AttemptEnding.ANSWERED, now);
+        table.unwanted(KEY, now);
+        passTo(LIMIT);
+        assertEquals(0, reports.size());
+        passTo(3 * LIMIT);
+        assertEquals(1, reports.size());
+        assertEquals(State.OVERDUE, reports.get(0).state());
+    }
+}
--- a/core/src/test/java/sorrelhoist/core/reservation/ReservationTableTest.java
+++ b/core/src/test/java/sorrelhoist/core/reservation/ReservationTableTest.java
@@ -39,10 +39,10 @@
         table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
         table.unwanted(KEY, now);
         ReleaseCall first = lastCall();
-        table.attemptSent(KEY, AttemptPurpose.PREFILL);
-        table.attemptDelivered(KEY);
+        table.attemptSent(KEY, AttemptPurpose.PREFILL, "r0", now);
+        table.attemptDelivered(KEY, now);
         now = 10_000;
-        table.attemptEnded(KEY, true, now);
+        table.attemptEnded(KEY, AttemptEnding.ANSWERED, now);
         table.opened(KEY, Hold.ofLostPrefill("r1", 1), now);
         table.unwanted(KEY, now);
         table.releaseCompleted(first.id(), true, now);
@@ -55,8 +55,8 @@
     @Test
     void aStateWaitsForItsWriterWhileTheWriterHasTheRequest() {
         table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
-        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
-        table.attemptDelivered(KEY);
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED, "w0", now);
+        table.attemptDelivered(KEY, now);
         passTo(10 * LIMIT);
         assertEquals(0, calls.size());
         table.taken(KEY, now);
@@ -67,11 +67,11 @@
     void timeRunsOnWhileAWritersConnectionDoesNotComeUp() {
         table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
         for (int i = 0; i < 2; i++) {
-            table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
-            table.attemptConnecting(KEY);
+            table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED, "w0", now);
+            table.attemptConnecting(KEY, now);
             passTo(now + POLICY.idleMicros() / 2 - 1);
             assertEquals(0, calls.size());
-            table.attemptEnded(KEY, false, now);
+            table.attemptEnded(KEY, AttemptEnding.NOT_SENT, now);
         }
         passTo(POLICY.idleMicros());
         assertEquals(1, calls.size());
@@ -81,18 +81,18 @@
     void whatAnAttemptWasToTakeIsReleasedWhenItsConnectionNeverCameUp() {
         table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
         table.unwanted(KEY, now);
-        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
-        table.attemptConnecting(KEY);
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED, "w0", now);
+        table.attemptConnecting(KEY, now);
         assertEquals(1, abandoned.size(), "the attempt is to take it");
         now = 10_000;
-        table.attemptEnded(KEY, false, now);
+        table.attemptEnded(KEY, AttemptEnding.NOT_SENT, now);
         passTo(now);
         assertEquals(2, calls.size(), "at once, as it was due before");
         answerLast(true);
-        table.attemptEnded(KEY, false, now);
+        table.attemptEnded(KEY, AttemptEnding.NOT_SENT, now);
         passTo(10 * LIMIT);
         assertEquals(2, calls.size(), "once");
-        table.attemptEnded(ReservationKey.ofRequest("b"), false, now);
+        table.attemptEnded(ReservationKey.ofRequest("b"), AttemptEnding.NOT_SENT, now);
         assertEquals(2, calls.size());
     }
 
@@ -100,10 +100,10 @@
     void whatAnAttemptReachedIsItsOwnAndNothingIsKeptOfIt() {
         table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
         table.unwanted(KEY, now);
-        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
-        table.attemptDelivered(KEY);
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED, "w0", now);
+        table.attemptDelivered(KEY, now);
         table.taken(KEY, now);
-        table.attemptEnded(KEY, true, now);
+        table.attemptEnded(KEY, AttemptEnding.ANSWERED, now);
         passTo(10 * LIMIT);
         assertEquals(1, calls.size(), "the one before the attempt");
         assertEquals(0, table.size());
@@ -112,10 +112,10 @@
     @Test
     void anAnswerOfTheWriterBeginsTheTimeAnew() {
         table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
-        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
-        table.attemptDelivered(KEY);
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED, "w0", now);
+        table.attemptDelivered(KEY, now);
         passTo(3 * LIMIT);
-        table.attemptEnded(KEY, true, now);
+        table.attemptEnded(KEY, AttemptEnding.ANSWERED, now);
         passTo(now + POLICY.idleMicros() - 1);
         assertEquals(0, calls.size());
         passTo(now + 1);
@@ -125,15 +125,15 @@
     @Test
     void whatALostReadLeftIsReleasedBesideAnotherReadButNotOnceThatOneHasEnded() {
         table.opened(KEY, Hold.ofLostPrefill("r0", 0), now);
-        table.attemptSent(KEY, AttemptPurpose.PREFILL);
-        table.attemptDelivered(KEY);
+        table.attemptSent(KEY, AttemptPurpose.PREFILL, "r0", now);
+        table.attemptDelivered(KEY, now);
         passTo(POLICY.idleMicros());
         assertEquals(1, calls.size(), "the second read may never have arrived");
-        table.attemptEnded(KEY, true, now);
+        table.attemptEnded(KEY, AttemptEnding.ANSWERED, now);
         table.prefillCompleted(KEY, Hold.ofPrefillState("r1", ""), now);
         assertEquals(List.of(lastCall().id()), abandoned, "it would take the second state away");
-        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
-        table.attemptDelivered(KEY);
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED, "w0", now);
+        table.attemptDelivered(KEY, now);
         passTo(10 * LIMIT);
         assertEquals(1, calls.size());
     }
@@ -143,8 +143,8 @@
         table.opened(KEY, Hold.ofLostPrefill("r0", 0), now);
         now = 50_000;
         table.prefillCompleted(KEY, Hold.ofPrefillState("r1", ""), now);
-        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
-        table.attemptDelivered(KEY);
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED, "w0", now);
+        table.attemptDelivered(KEY, now);
         table.taken(KEY, now);
         assertEquals(1, table.size());
         passTo(POLICY.settleMicros());
@@ -246,8 +246,8 @@
     void aRequestWithTheSameNameKeepsWhatTheEarlierOneLeft() {
         table.opened(KEY, Hold.ofLostPrefill("r0", 0), now);
         table.unwanted(KEY, now);
-        table.attemptSent(KEY, AttemptPurpose.PREFILL);
-        table.attemptDelivered(KEY);
+        table.attemptSent(KEY, AttemptPurpose.PREFILL, "r0", now);
+        table.attemptDelivered(KEY, now);
         answerLast(true);
         assertEquals(1, table.size());
         passTo(POLICY.idleMicros());
@@ -257,11 +257,11 @@
     @Test
     void aPlaceIsKeptWhileItsRequestIsReadAndReleasedWithIt() {
         table.opened(KEY, Hold.ofDecodeSlot("w0", "p", Hold.Certainty.CONFIRMED), now);
-        table.attemptSent(KEY, AttemptPurpose.PREFILL);
-        table.attemptDelivered(KEY);
+        table.attemptSent(KEY, AttemptPurpose.PREFILL, "r0", now);
+        table.attemptDelivered(KEY, now);
         passTo(5 * LIMIT);
         assertEquals(0, calls.size());
-        table.attemptEnded(KEY, true, now);
+        table.attemptEnded(KEY, AttemptEnding.ANSWERED, now);
         table.unwanted(KEY, now);
         assertEquals(1, calls.size());
     }
@@ -269,8 +269,8 @@
     @Test
     void aDecodeThatWasWrittenAndNotDeliveredDoesNotStopTheTimeOfItsState() {
         table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
-        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
-        table.attemptConnecting(KEY);
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED, "w0", now);
+        table.attemptConnecting(KEY, now);
         table.attemptWritten(KEY, now);
         passTo(POLICY.idleMicros());
         assertEquals(1, calls.size());
@@ -280,8 +280,8 @@
     void aSecondDecodeHasAMomentToBeConfirmedButNoMoreThanTheLimitAllows() {
         table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
         passTo(POLICY.idleMicros() - 1);
-        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
-        table.attemptConnecting(KEY);
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED, "w0", now);
+        table.attemptConnecting(KEY, now);
         table.attemptWritten(KEY, now);
         passTo(POLICY.latestStartMicros() - 1);
         assertEquals(0, calls.size());
@@ -292,11 +292,11 @@
     @Test
     void aDecodeThatWasDeliveredStopsTheTimeOfItsState() {
         table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
-        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED);
-        table.attemptConnecting(KEY);
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED, "w0", now);
+        table.attemptConnecting(KEY, now);
         table.attemptWritten(KEY, now);
         passTo(POLICY.idleMicros() - 1);
-        table.attemptDelivered(KEY);
+        table.attemptDelivered(KEY, now);
         passTo(10 * LIMIT);
         assertEquals(0, calls.size());
     }
--- a/core/src/test/java/sorrelhoist/core/reservation/ReservationTableTestSupport.java
+++ b/core/src/test/java/sorrelhoist/core/reservation/ReservationTableTestSupport.java
@@ -14,6 +14,7 @@
     final List<Long> callTimes = new ArrayList<>();
     final List<Long> abandoned = new ArrayList<>();
     final List<String> expired = new ArrayList<>();
+    final List<ReservationReport> reports = new ArrayList<>();
     final EngineActivity engines = new EngineActivity(2 * POLICY.retryMicros());
     long now;
     final ReservationTable table =
@@ -36,6 +37,11 @@
                         public void expired(ReservationKey key, String engine, int made) {
                             expired.add(key.requestName() + " at " + engine + " after " + made);
                         }
+
+                        @Override
+                        public void report(ReservationReport report) {
+                            reports.add(report);
+                        }
                     },
                     MOST);
 
--- a/edge/src/main/java/sorrelhoist/edge/EngineCommandHandler.java
+++ b/edge/src/main/java/sorrelhoist/edge/EngineCommandHandler.java
@@ -129,6 +129,11 @@
         reservations.logExpiredRelease(command);
     }
 
+    @Override
+    public void reportReservation(Command.ReportReservation command) {
+        reservations.logReservation(command.report());
+    }
+
     @Override
     public void closeIdleConnections(Command.CloseIdleConnections command) {
         connections.closeIdle(command.engine());
--- a/edge/src/main/java/sorrelhoist/edge/ReservationCalls.java
+++ b/edge/src/main/java/sorrelhoist/edge/ReservationCalls.java
@@ -5,6 +5,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sorrelhoist.core.request.Command;
+import sorrelhoist.core.reservation.ReservationReport;
 import sorrelhoist.protocol.engine.EngineApi;
 import sorrelhoist.protocol.engine.ReleaseRequest;
 import sorrelhoist.protocol.engine.ReserveReply;
@@ -91,6 +92,16 @@
                 .log("the reservation of a request was not released in time");
     }
 
+    /** Logs what became of a reservation that was not taken in the ordinary way. */
+    void logReservation(ReservationReport report) {
+        LOG.atInfo()
+                .addKeyValue("event", "reservation")
+                .addKeyValue("request", report.requestName())
+                .addKeyValue("state", report.state())
+                .addKeyValue("history", report.history())
+                .log("what was reserved for a request was not taken by its decode");
+    }
+
     private Headers deadlineIn(long micros) {
         long now = router.now();
         return CallMetadata.withDeadline(now + micros, now);
--- a/edge/src/main/java/sorrelhoist/edge/RouterCommandHandler.java
+++ b/edge/src/main/java/sorrelhoist/edge/RouterCommandHandler.java
@@ -106,6 +106,11 @@
         engines.reportExpiredRelease(command);
     }
 
+    @Override
+    public void reportReservation(Command.ReportReservation command) {
+        engines.reportReservation(command);
+    }
+
     @Override
     public void closeIdleConnections(Command.CloseIdleConnections command) {
         engines.closeIdleConnections(command);
