--- a/app/src/test/java/sorrelhoist/lab/soak/MemoryTest.java
+++ b/app/src/test/java/sorrelhoist/lab/soak/MemoryTest.java
@@ -77,8 +77,11 @@
 
     private static void setAllWorkersHanging(RouterFixture fixture, boolean hanging)
             throws Exception {
-        fixture.fleet.runOnLoop(
-                () -> fixture.fleet.workers.forEach(w -> w.standIn.setHanging(hanging)));
+        for (WorkerNode worker : fixture.fleet.workers) {
+            WorkerStandIn standIn = worker.standIn;
+            fixture.fleet.runOnLoop(
+                    hanging ? () -> standIn.hang(HangMode.STOPPED) : standIn::resume);
+        }
     }
 
     private static int sendLarge(RouterFixture fixture) throws Exception {
--- a/app/src/test/java/sorrelhoist/lab/soak/SoakTest.java
+++ b/app/src/test/java/sorrelhoist/lab/soak/SoakTest.java
@@ -50,6 +50,7 @@
         attempt.arrivedAt = at;
         attempt.budgetMillis = 100;
         attempt.endedAt = at + SECOND / 10;
+        attempt.waitEndedAt = at;
         attempt.streamFinished = role == Role.WRITE;
         request.attempts.add(attempt);
         return attempt;
@@ -225,6 +226,17 @@
         assertViolations();
     }
 
+    @Test
+    void aStateThatADecodeWaitsForAtAStoppedWorkerIsNotOverdueBeforeThatEnds() {
+        RequestTrace request = soundRequest(FleetRules.RequestClass.SAFE);
+        request.states.add(new StateTrace("w0", start + SECOND));
+        AttemptTrace waiting = request.attempts.get(0);
+        waiting.waitEndedAt = RequestTrace.NEVER;
+        assertViolations();
+        waiting.waitEndedAt = start + 3 * SECOND;
+        assertViolations(Invariant.RELEASED);
+    }
+
     @Test
     void aRequestOfALateShutdownThatTheKillLeavesOpenIsSeen() {
         RequestTrace request = request(FleetRules.RequestClass.SAFE);
@@ -271,6 +283,11 @@
                     "no C compiler on this machine: the soak is played without system-call faults");
             kinds.removeIf(Kind::needsLibrary);
         }
+        assertKeepsEveryInvariant(SEED, kinds, library);
+    }
+
+    private void assertKeepsEveryInvariant(long seed, Set<Kind> kinds, Path library)
+            throws Exception {
         List<String> command =
                 List.of(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -284,11 +301,11 @@
                 new SoakRunner(System.out::println)
                         .run(
                                 new SoakPlan(
-                                        SEED,
+                                        seed,
                                         SECONDS,
                                         ROUTERS,
                                         WORKERS,
-                                        ScheduledFault.generateSchedule(SEED, SECONDS, kinds),
+                                        ScheduledFault.generateSchedule(seed, SECONDS, kinds),
                                         command,
                                         folder.resolve("soak"),
                                         library,
--- a/core/src/test/java/sorrelhoist/core/request/UndeliveredAttemptTest.java
+++ b/core/src/test/java/sorrelhoist/core/request/UndeliveredAttemptTest.java
@@ -4,55 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import sorrelhoist.routing.RoutingEvents.ListUpdateKind;
 import sorrelhoist.routing.RoutingEvents.ServerLoad;
 
 /** Attempts whose last byte was written, and of whose engine nothing shows that it has them. */
-class UndeliveredAttemptTest {
-    private static final long BUDGET = 4 * Fleet.SECOND;
-    private static final long STEP = 1000;
-    private static final long PREFILLED = 10_000;
-
-    private final List<Command> commands = new ArrayList<>();
-    private final Router router = new Router(Fleet.platformSettings(false, BUDGET), commands::add);
-    private long now;
-
-    UndeliveredAttemptTest() {
-        router.endpointsUpdated(0, ListUpdateKind.COMPLETE, Fleet.servers());
-    }
-
-    private <T extends Command> List<T> all(Class<T> type) {
-        return commands.stream().filter(type::isInstance).map(type::cast).toList();
-    }
-
-    private void passTo(long time) {
-        while (now < time) {
-            now = Math.min(time, now + STEP);
-            router.advance(now);
-        }
-    }
-
-    /** A transport that connects at once and whose writes its own system takes. */
-    private Command.StartAttempt written(Command.StartAttempt attempt) {
-        router.attemptConnecting(now, attempt.attempt());
-        router.attemptWritten(now, attempt.attempt());
-        return attempt;
-    }
-
-    private Command.StartDecode decodeWritten(int requestClass) {
-        router.requestArrived(now, Fleet.call(requestClass, 10, BUDGET));
-        Command.StartPrefill prefill = all(Command.StartPrefill.class).get(0);
-        written(prefill);
-        passTo(PREFILLED);
-        router.prefillCompleted(now, prefill.attempt(), "", 0, ServerLoad.NONE);
-        Command.StartDecode decode = all(Command.StartDecode.class).get(0);
-        written(decode);
-        return decode;
-    }
-
+class UndeliveredAttemptTest extends PlatformAttemptTestSupport {
     @Test
     void aStateIsReleasedInTimeWhereNothingShowsThatItsDecodeArrived() {
         decodeWritten(Fleet.UNSAFE);
@@ -130,9 +87,4 @@
         }
         assertEquals(0, router.metrics().reservationCount());
     }
-
-    private void answerReleases() {
-        all(Command.ReleaseReservation.class)
-                .forEach(release -> router.releaseCompleted(now, release.releaseId(), true));
-    }
 }
--- a/lab/src/main/java/sorrelhoist/lab/soak/FaultProxy.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/FaultProxy.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import sorrelhoist.protocol.net.LoopbackTransport;
 
 /**
@@ -24,8 +25,13 @@
 final class FaultProxy {
     private static final long CONNECT_TIMEOUT_MICROS = 2_000_000;
     private static final int MAX_READS_PER_TURN = 64;
+
+    /** Nothing orders the end of one connection and the bytes of another. */
+    private static final int MAX_CLOSE_DELAY_MICROS = 10_000;
+
     private final EventLoop loop;
     private final WorkerStandIn worker;
+    private final Random delays = new Random(0);
     private final Set<Link> links = new HashSet<>();
     private volatile Channel listener;
     private int port;
@@ -210,12 +216,17 @@
             links.remove(this);
             deliverBacklog();
             if (workerSide != null && workerSide.isActive()) {
-                workerSide
-                        .writeAndFlush(Unpooled.EMPTY_BUFFER)
-                        .addListener(ChannelFutureListener.CLOSE);
+                int micros = delays.nextInt(MAX_CLOSE_DELAY_MICROS);
+                loop.schedule(this::closeWorkerSide, micros, TimeUnit.MICROSECONDS);
             }
         }
 
+        private void closeWorkerSide() {
+            workerSide
+                    .writeAndFlush(Unpooled.EMPTY_BUFFER)
+                    .addListener(ChannelFutureListener.CLOSE);
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (backlog != null) {
--- a/lab/src/main/java/sorrelhoist/lab/soak/RequestTrace.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/RequestTrace.java
@@ -71,6 +71,18 @@
         return !held.isEmpty();
     }
 
+    /**
+     * A call to release what is held for the request: it lets go of nothing that a decode waits
+     * for.
+     *
+     * @param now the time, nanoseconds
+     */
+    void releaseUnlessAwaited(long now) {
+        if (attempts.stream().noneMatch(AttemptTrace::isWaitingForState)) {
+            releaseStates(now);
+        }
+    }
+
     /** One attempt as its worker saw it. */
     static final class AttemptTrace {
         final WorkerEntry.Role role;
@@ -85,6 +97,12 @@
         /** When the worker's answer ended, or the connection did. */
         long endedAt = NEVER;
 
+        /**
+         * When a decode stopped waiting for the state that it was to fetch: it fetched it, was
+         * rejected, or its worker noticed that nobody waits for it.
+         */
+        long waitEndedAt = NEVER;
+
         /** Whether the worker wrote its stream to the last chunk. */
         boolean streamFinished;
 
@@ -94,6 +112,16 @@
             this.firstByteAt = firstByteAt;
         }
 
+        /** {@return whether it stands in its worker's queue, before the state is fetched} */
+        boolean isWaitingForState() {
+            return role == WorkerEntry.Role.WRITE && arrivedAt != NEVER && waitEndedAt == NEVER;
+        }
+
+        /** {@return until when what is held for its request may have been for it} */
+        long outUntil() {
+            return role == WorkerEntry.Role.WRITE ? Math.max(endedAt, waitEndedAt) : endedAt;
+        }
+
         boolean mayHaveRun() {
             return arrivedAt != NEVER && !rejected;
         }
--- a/lab/src/main/java/sorrelhoist/lab/soak/StateReleaseCheck.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/StateReleaseCheck.java
@@ -22,6 +22,10 @@
         RouterIncarnation router = timeline.incarnation(request.router, request.routerIncarnation);
         for (StateTrace state : request.states) {
             long idleSince = idleSince(request, state);
+            if (idleSince == RequestTrace.NEVER) {
+                // A decode waits for it at a worker that stands still.
+                continue;
+            }
             long due =
                     idleSince
                             + TimeUnit.MILLISECONDS.toNanos(rules.reservationLimitMillis())
@@ -41,12 +45,12 @@
         }
     }
 
-    /** {@return since when no attempt of the request was running} */
+    /** {@return since when no attempt of the request was running, or waited for the state} */
     private static long idleSince(RequestTrace request, StateTrace state) {
         long idleSince = state.heldAt;
         for (AttemptTrace attempt : request.attempts) {
             if (attempt.arrivedAt < state.releasedAt) {
-                idleSince = Math.max(idleSince, Math.min(attempt.endedAt, state.releasedAt));
+                idleSince = Math.max(idleSince, Math.min(attempt.outUntil(), state.releasedAt));
             }
         }
         return idleSince;
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerAttempt.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerAttempt.java
@@ -9,6 +9,10 @@
 /** One attempt at a worker: it is rejected, or its prompt is prefilled, or its answer streamed. */
 final class WorkerAttempt {
     private static final int PREFILL_MILLIS = 25;
+
+    /** A decode waits up to so long for a slot and memory before its state is fetched. */
+    private static final int MAX_QUEUE_MILLIS = 150;
+
     private static final long FIRST_EVENT_MILLIS = 25;
     private static final int EVENT_MILLIS = 40;
     private static final int MAX_EVENTS = 25;
@@ -52,18 +56,27 @@
         return trace;
     }
 
-    /** Starts it; the worker does not hang. */
+    /** Starts it, once the worker does not hang. */
     void start() {
+        if (worker.isHanging()) {
+            runLater(EVENT_MILLIS, this::begin);
+        } else {
+            begin();
+        }
+    }
+
+    private void begin() {
         misbehaviour = worker.drawMisbehaviour();
         if (worker.isDraining() || misbehaviour == Misbehaviour.FULL) {
             reject(UNAVAILABLE);
         } else if (misbehaviour == Misbehaviour.RESET_AFTER_REQUEST) {
+            trace.waitEndedAt = System.nanoTime();
             connection.reset();
         } else if (worker.role == Role.READ) {
             int millis = PREFILL_MILLIS / 2 + random().nextInt(PREFILL_MILLIS);
             runLater(millis, this::completePrefill);
         } else {
-            startStream();
+            runLater(random().nextInt(MAX_QUEUE_MILLIS), this::fetchState);
         }
     }
 
@@ -71,7 +84,7 @@
         return worker.random();
     }
 
-    /** Runs a task later; while the worker hangs, only if its router still waits. */
+    /** Runs a task later; while the worker hangs, not before it goes on. */
     private void runLater(long millis, Runnable task) {
         connection.schedule(
                 () -> {
@@ -80,7 +93,7 @@
                     }
                     if (!worker.isHanging()) {
                         task.run();
-                    } else if (!connection.isClosed()) {
+                    } else {
                         runLater(EVENT_MILLIS, task);
                     }
                 },
@@ -103,6 +116,7 @@
 
     private void reject(int status) {
         trace.rejected = true;
+        trace.waitEndedAt = Math.min(trace.waitEndedAt, System.nanoTime());
         connection.write(
                 "HTTP/1.1 "
                         + status
@@ -110,11 +124,24 @@
         connection.attemptEnded();
     }
 
-    private void startStream() {
-        if (!request.releaseStates(System.nanoTime())) {
-            reject(GONE);
+    /** A slot and memory are free; the attempt may be one that nobody waits for any more. */
+    private void fetchState() {
+        if (trace.waitEndedAt != RequestTrace.NEVER) {
             return;
         }
+        trace.waitEndedAt = System.nanoTime();
+        boolean fetched = request.releaseStates(trace.waitEndedAt);
+        if (connection.isClosed()) {
+            return;
+        }
+        if (fetched) {
+            startStream();
+        } else {
+            reject(GONE);
+        }
+    }
+
+    private void startStream() {
         events = 1 + random().nextInt(MAX_EVENTS);
         List<Misbehaviour> breaking =
                 List.of(Misbehaviour.SILENT_IN_STREAM, Misbehaviour.RESET_IN_STREAM);
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerConnection.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerConnection.java
@@ -34,7 +34,10 @@
     private long idleSince;
     private boolean closed;
 
-    /** When the other side closed it while the worker was hanging, which it notices later. */
+    /** A call that came while the worker's work stood still. */
+    private HttpHead deferredCall;
+
+    /** When the other side closed it while the worker was stopped, which it notices later. */
     private long unnoticedCloseAt = RequestTrace.NEVER;
 
     WorkerConnection(WorkerStandIn worker) {
@@ -90,6 +93,11 @@
 
     /** The worker hangs no more: takes what came meanwhile, a close last. */
     void resume() {
+        if (deferredCall != null && !closed) {
+            HttpHead call = deferredCall;
+            deferredCall = null;
+            handle(call);
+        }
         readRequest();
         noticeClose();
     }
@@ -109,13 +117,13 @@
         }
         unread.discardReadBytes().writeBytes(in);
         in.release();
-        if (!worker.isHanging()) {
+        if (!worker.isStopped()) {
             readRequest();
         }
     }
 
     private void readRequest() {
-        if (closed || attempt != null) {
+        if (closed || attempt != null || deferredCall != null) {
             return;
         }
         try {
@@ -142,6 +150,10 @@
     private void handle(HttpHead head) {
         idleSince = System.nanoTime();
         if (head.path().startsWith(HOLDS_PATH)) {
+            if (worker.isHanging()) {
+                deferredCall = head;
+                return;
+            }
             if (head.method().equals("DELETE")) {
                 worker.release(head.path().substring(HOLDS_PATH.length()));
                 write(NO_CONTENT);
@@ -185,7 +197,7 @@
         if (attempt != null) {
             attempt.trace().endedAt = Math.min(attempt.trace().endedAt, System.nanoTime());
         }
-        if (worker.isHanging()) {
+        if (worker.isStopped()) {
             unnoticedCloseAt = System.nanoTime();
         } else {
             close();
@@ -197,7 +209,11 @@
         worker.closed(this);
         unread.release();
         if (attempt != null) {
-            attempt.trace().endedAt = Math.min(attempt.trace().endedAt, System.nanoTime());
+            AttemptTrace trace = attempt.trace();
+            trace.endedAt = Math.min(trace.endedAt, System.nanoTime());
+            if (worker.cancelsQueuedAttempts() || !worker.isAlive()) {
+                trace.waitEndedAt = Math.min(trace.waitEndedAt, System.nanoTime());
+            }
         }
     }
 
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerFaults.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerFaults.java
@@ -76,8 +76,10 @@
     /** A worker does nothing for a while; its connections stay open. */
     void hang(Injection fault) throws Exception {
         WorkerStandIn worker = fault.worker().standIn;
-        fleet.runOnLoop(() -> worker.setHanging(true));
-        actions.schedule(hangMillis(fault), () -> fleet.runOnLoop(() -> worker.setHanging(false)));
+        HangMode[] modes = HangMode.values();
+        HangMode mode = modes[fault.random().nextInt(modes.length)];
+        fleet.runOnLoop(() -> worker.hang(mode));
+        actions.schedule(hangMillis(fault), () -> fleet.runOnLoop(worker::resume));
     }
 
     /** {@return how long it hangs: often about as long as one of the limits that it may cross} */
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerNode.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerNode.java
@@ -55,6 +55,7 @@
                         log,
                         seed * SEED_FACTOR + index,
                         idleTimeoutMillis);
+        standIn.setCancelsQueuedAttempts((index / 2 + seed) % 2 == 0);
         standIn.start();
     }
 
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
@@ -26,7 +26,8 @@
     private final Set<WorkerConnection> connections = new HashSet<>();
     private volatile Channel listener;
     private int port;
-    private boolean hanging;
+    private HangMode hang;
+    private boolean cancelsQueuedAttempts = true;
     private boolean draining;
     private Misbehaviour misbehaviour = Misbehaviour.NONE;
     private double misbehavingShare;
@@ -80,7 +81,7 @@
         }
         listener.close();
         listener = null;
-        hanging = false;
+        hang = null;
         List.copyOf(connections).forEach(WorkerConnection::reset);
         long now = System.nanoTime();
         for (RequestTrace request : log.requests()) {
@@ -92,16 +93,33 @@
         }
     }
 
-    /** Stops doing anything at all, or goes on; connections stay open. */
-    void setHanging(boolean on) {
-        hanging = on;
-        if (!on) {
-            List.copyOf(connections).forEach(WorkerConnection::resume);
-        }
+    /** Answers nothing from now on; connections stay open. */
+    void hang(HangMode mode) {
+        hang = mode;
+    }
+
+    /** Goes on after a hang. */
+    void resume() {
+        hang = null;
+        List.copyOf(connections).forEach(WorkerConnection::resume);
     }
 
     boolean isHanging() {
-        return hanging;
+        return hang != null;
+    }
+
+    /** {@return whether it does not even take what comes in} */
+    boolean isStopped() {
+        return hang == HangMode.STOPPED;
+    }
+
+    /** Sets whether it takes attempts whose connections end out of its queue. */
+    void setCancelsQueuedAttempts(boolean cancels) {
+        cancelsQueuedAttempts = cancels;
+    }
+
+    boolean cancelsQueuedAttempts() {
+        return cancelsQueuedAttempts;
     }
 
     /** Rejects new requests from now on, or accepts them again. */
@@ -144,11 +162,11 @@
         connections.remove(connection);
     }
 
-    /** Releases what is held for a request. */
+    /** Releases what is held for a request and no decode waits for. */
     void release(String requestId) {
         RequestTrace request = log.find(requestId);
         if (request != null) {
-            request.releaseStates(System.nanoTime());
+            request.releaseUnlessAwaited(System.nanoTime());
         }
     }
 }
