End a hold only where a release's answer proves that it had effect

Ruled out by the failing tests before: that no release was sent, and that none was answered. At fault: Reservation.callDone, which forgot a hold on any answer, and OpenHold.opened, by which a confirmed hold was provable at once. A release lets go of nothing that an attempt waits for, and is answered all the same. Class of fault: an acknowledgement taken for the effect, its precondition a fact about another connection.

HoldProof now decides what proves the end of a hold, as a table: proof, precondition, what follows. An answer proves nothing where a decode was with an engine between the call and its answer (also one that was written while the release was on its way); the hold stays, and is released again when the decode has ended. A decode that ended without an answer may stand in its engine's queue: that is a hold of its own, released at once, again after the settling time, and again once its engine was heard or has left the list. Prefills and decodes whose connection broke are treated alike, as their engine may be stopped. What no engine releases is tried on every four limits in place of being forgotten; an exit does not wait for it. A stream does not end the series of releases after an engine came back (found by the soak: one state of a run was never released).

The soak dates a repeat of a keyed request by its last byte at the machine, not by when a stopped worker takes it (the rule is of sends); it had reported one send of 100 ms after the first as 700 ms late.

--- a/app/src/test/java/sorrelhoist/lab/soak/SoakTest.java
+++ b/app/src/test/java/sorrelhoist/lab/soak/SoakTest.java
@@ -21,6 +21,7 @@
 class SoakTest {
     private static final long SECOND = 1_000_000_000;
     private static final long SEED = 3;
+    private static final long HANGS_SEED = 8501;
     private static final int SECONDS = 14;
     private static final int ROUTERS = 3;
     private static final int WORKERS = 6;
@@ -48,6 +49,7 @@
     private AttemptTrace attempt(RequestTrace request, Role role, String worker, long at) {
         AttemptTrace attempt = new AttemptTrace(role, worker, at);
         attempt.arrivedAt = at;
+        attempt.lastByteAt = at;
         attempt.budgetMillis = 100;
         attempt.endedAt = at + SECOND / 10;
         attempt.waitEndedAt = at;
@@ -286,6 +288,12 @@
         assertKeepsEveryInvariant(SEED, kinds, library);
     }
 
+    @Test
+    void aShortSeedOfHungWorkersAndSilentLinksKeepsEveryInvariant() throws Exception {
+        assertKeepsEveryInvariant(
+                HANGS_SEED, EnumSet.of(Kind.WORKER_HANGS, Kind.LINK_SILENT), null);
+    }
+
     private void assertKeepsEveryInvariant(long seed, Set<Kind> kinds, Path library)
             throws Exception {
         List<String> command =
--- a/core/src/main/java/sorrelhoist/core/request/AttemptDeliveries.java
+++ b/core/src/main/java/sorrelhoist/core/request/AttemptDeliveries.java
@@ -23,8 +23,9 @@
     private static final Set<Outcome> ANSWERS =
             EnumSet.of(Outcome.DONE, Outcome.READ, Outcome.ERROR, Outcome.FULL);
 
-    /** Outcomes by which the router gives an attempt up whose connection stands. */
-    private static final Set<Outcome> GIVEN_UP = EnumSet.of(Outcome.TIMED_OUT, Outcome.CANCELLED);
+    /** Outcomes after which an engine may still have the attempt, and not know that it is over. */
+    private static final Set<Outcome> UNANSWERED =
+            EnumSet.of(Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.RESET);
 
     private final RouterClock clock;
     private final RequestReservations reservations;
@@ -95,7 +96,8 @@
     /**
      * The attempt ended, well or not.
      *
-     * @return whether it was given up and may yet end well at its engine, however late
+     * @return whether its engine has to be heard before it is known that its end has arrived there:
+     *     a prefill may yet end well, however late, and a decode may yet wait for what is held
      */
     boolean ended(Attempt attempt, Outcome outcome) {
         if (ANSWERS.contains(outcome)) {
@@ -103,16 +105,20 @@
             return false;
         }
         monitor.ended(attempt, attempt.delivery);
-        boolean givenUp =
-                attempt.prefill
-                        && GIVEN_UP.contains(outcome)
+        boolean awaitsEngine =
+                UNANSWERED.contains(outcome)
                         && attempt.delivery.isWritten()
                         && attempt.delivery.evidence() != Evidence.ASSUMED
-                        && reservations.isListed(attempt.engine);
-        if (givenUp) {
+                        && reservations.isListed(attempt.engine)
+                        && (attempt.prefill || mayStayQueued(attempt));
+        if (awaitsEngine) {
             monitor.awaitEngine(attempt.engine, attempt.delivery, clock.now());
         }
-        return givenUp;
+        return awaitsEngine;
+    }
+
+    private boolean mayStayQueued(Attempt attempt) {
+        return !attempt.streaming && reservations.holdsFor(attempt);
     }
 
     /** Bytes came from an engine; they had arrived at the earliest at a time. */
--- a/core/src/main/java/sorrelhoist/core/request/AttemptTracker.java
+++ b/core/src/main/java/sorrelhoist/core/request/AttemptTracker.java
@@ -108,8 +108,8 @@
      */
     void ended(Attempt attempt, Outcome outcome, boolean requestOver, long note, ServerLoad load) {
         RequestState request = attempt.request;
-        boolean givenUp = deliveries.ended(attempt, outcome);
-        reservations.attemptEnded(attempt, outcome, givenUp);
+        boolean awaitsEngine = deliveries.ended(attempt, outcome);
+        reservations.attemptEnded(attempt, outcome, awaitsEngine);
         if (mayHaveRun(attempt, outcome) && request.mayHaveRunFrom == RequestState.NEVER) {
             request.mayHaveRunFrom = attempt.sentAt;
         }
--- a/core/src/main/java/sorrelhoist/core/request/RequestReservations.java
+++ b/core/src/main/java/sorrelhoist/core/request/RequestReservations.java
@@ -199,17 +199,25 @@
                 request.prefillStateKey, Hold.ofPrefillState(attempt.engine, stateId), clock.now());
     }
 
-    /** A running attempt ended, well or not; what it leaves is said by the other methods. */
-    void attemptEnded(Attempt attempt, Outcome outcome, boolean givenUp) {
+    /**
+     * A running attempt ended, well or not; what it leaves is said by the other methods.
+     *
+     * @param attempt which
+     * @param outcome how
+     * @param awaitsEngine whether its engine has to be heard before its end is known there
+     */
+    void attemptEnded(Attempt attempt, Outcome outcome, boolean awaitsEngine) {
         boolean written = attempt.delivery.isWritten() && outcome != Outcome.CONNECT_FAILED;
+        AttemptEnding ending = written ? endingOf(outcome) : AttemptEnding.NOT_SENT;
         if (written && mayLeaveState(attempt, outcome)) {
             ReservationKey key = keyOf(attempt);
-            table.opened(key, holdOfLostPrefill(attempt, givenUp), clock.now());
+            table.opened(key, holdOfLostPrefill(attempt, awaitsEngine), clock.now());
             if (!oneKeyPerRequest) {
                 table.unwanted(key, clock.now());
             }
+        } else if (mayStayQueued(attempt, ending)) {
+            table.opened(keyOf(attempt), holdOfQueuedDecode(attempt, awaitsEngine), clock.now());
         }
-        AttemptEnding ending = written ? endingOf(outcome) : AttemptEnding.NOT_SENT;
         keysOf(attempt.request).forEach(key -> table.attemptEnded(key, ending, clock.now()));
     }
 
@@ -221,9 +229,20 @@
         };
     }
 
-    private static Hold holdOfLostPrefill(Attempt attempt, boolean givenUp) {
+    /** {@return whether a decode may wait for what is held although it is over} */
+    private boolean mayStayQueued(Attempt attempt, AttemptEnding ending) {
+        boolean unanswered = ending == AttemptEnding.LOST || ending == AttemptEnding.GIVEN_UP;
+        return unanswered && !attempt.prefill && !attempt.streaming && holdsFor(attempt);
+    }
+
+    /** {@return whether an attempt's release could take effect only once its engine has let go} */
+    boolean holdsFor(Attempt attempt) {
+        return oneKeyPerRequest && table.isHeld(keyOf(attempt));
+    }
+
+    private static Hold holdOfLostPrefill(Attempt attempt, boolean awaitsEngine) {
         int number = attempt.id.number();
-        if (!givenUp) {
+        if (!awaitsEngine) {
             return Hold.ofLostPrefill(attempt.engine, number);
         }
         return attempt.delivery.isDelivered()
@@ -231,6 +250,17 @@
                 : Hold.ofUndeliveredPrefill(attempt.engine, number);
     }
 
+    private static Hold holdOfQueuedDecode(Attempt attempt, boolean awaitsEngine) {
+        Hold.Certainty certainty = Hold.Certainty.POSSIBLE;
+        if (awaitsEngine) {
+            certainty =
+                    attempt.delivery.isDelivered()
+                            ? Hold.Certainty.GIVEN_UP
+                            : Hold.Certainty.UNDELIVERED;
+        }
+        return Hold.ofQueuedDecode(attempt.engine, attempt.id.number(), certainty);
+    }
+
     /** A prefill may have ended well in the moment in which it was lost or cancelled. */
     private static boolean mayLeaveState(Attempt attempt, Outcome outcome) {
         return attempt.prefill && outcome != Outcome.READ && outcome != Outcome.FULL;
--- /dev/null
+++ b/core/src/main/java/sorrelhoist/core/reservation/HoldProof.java
@@ -0,0 +1,64 @@
+package sorrelhoist.core.reservation;
+
+import java.util.Optional;
+
+/**
+ * Decides what proves that a hold is gone: the one place that does. An acknowledgement is no proof
+ * by itself. An engine answers a release whether or not it let go of anything, and it lets go of
+ * nothing that an attempt waits for; so each proof has a precondition.
+ *
+ * <table>
+ *   <caption>Proofs</caption>
+ *   <tr><th>proof</th><th>precondition</th><th>where it does not hold</th></tr>
+ *   <tr><td>a stream began</td><td>the hold had come by then: it was taken, or went with what was
+ *     taken</td><td>what a given-up prefill may leave later stays open</td></tr>
+ *   <tr><td>a release was answered</td><td>no decode of the request was with an engine between the
+ *     call and its answer</td><td>all holds stay open; they are released again when the decode has
+ *     ended, or later if nothing shows that it arrived</td></tr>
+ *   <tr><td>a release was answered</td><td>the hold had settled when the call was made: the close
+ *     of its attempt's connection has arrived by then where its engine runs</td><td>the hold is
+ *     released again once it has settled</td></tr>
+ *   <tr><td>a release was answered</td><td>the engine of the given-up attempt was heard after its
+ *     end</td><td>the hold is released again once that engine was heard, or has left</td></tr>
+ *   <tr><td>an engine left the endpoint list</td><td>none: it is no proof</td><td>the engine need
+ *     not be heard any more; the hold is released once more when it has settled</td></tr>
+ * </table>
+ */
+final class HoldProof {
+    private HoldProof() {}
+
+    /** {@return what is left of a hold after a stream of its request began} */
+    static Optional<OpenHold> afterStream(OpenHold open, long now) {
+        boolean mayComeLater =
+                open.provableFrom() > now || open.awaitsEngine() || open.releasesLeft() > 0;
+        return open.hold().isState() && mayComeLater ? Optional.of(open) : Optional.empty();
+    }
+
+    /**
+     * {@return what is left of a hold after a release was answered that no decode was out for}
+     *
+     * @param open the hold
+     * @param policy when it is released again
+     * @param madeAt when the release was sent
+     */
+    static Optional<OpenHold> afterRelease(OpenHold open, ReleasePolicy policy, long madeAt) {
+        if (open.provableFrom() > madeAt) {
+            return Optional.of(open);
+        }
+        if (open.awaitsEngine()) {
+            return Optional.of(open.notBeforeEngineIsHeard());
+        }
+        return open.releasesLeft() == 0
+                ? Optional.empty()
+                : Optional.of(open.releasedAgainAt(madeAt + policy.limitMicros()));
+    }
+
+    /**
+     * {@return a hold after an engine left the endpoint list} What was on its way there will not
+     * arrive, but what had arrived may just have had its effect.
+     */
+    static OpenHold afterEngineRemoved(
+            OpenHold open, String engine, ReleasePolicy policy, long now) {
+        return open.awaits(engine) ? open.settledAt(now + policy.settleMicros()) : open;
+    }
+}
--- a/core/src/main/java/sorrelhoist/core/reservation/OpenHold.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/OpenHold.java
@@ -28,7 +28,7 @@
 
     /** {@return the same where no attempt will take prefill states any more} */
     OpenHold withoutPrefillStateNeeded() {
-        boolean stillNeeded = needed && !hold.decodeSlot().isEmpty();
+        boolean stillNeeded = needed && !hold.isState();
         return new OpenHold(hold, provableFrom, stillNeeded, awaitsEngine, releasesLeft);
     }
 
@@ -48,24 +48,25 @@
             return this;
         }
         if (hold.certainty() == Certainty.GIVEN_UP && provableFrom != NEVER) {
-            return new OpenHold(hold, provableFrom, needed, false, 0);
+            return settledAt(provableFrom);
         }
         int releases =
                 hold.certainty() == Certainty.UNDELIVERED ? policy.lateArrivalReleases() - 1 : 0;
         return new OpenHold(hold, now + policy.settleMicros(), needed, false, releases);
     }
 
-    /** {@return the same after a call that was made then has released all that it could} */
-    OpenHold released(ReleasePolicy policy, long madeAt) {
-        if (provableFrom > madeAt) {
-            return this;
-        }
-        if (awaitsEngine) {
-            return new OpenHold(hold, NEVER, needed, true, 0);
-        }
-        return releasesLeft == 0
-                ? this
-                : new OpenHold(
-                        hold, madeAt + policy.limitMicros(), needed, false, releasesLeft - 1);
+    /** {@return the same where nothing can be proven until its engine was heard} */
+    OpenHold notBeforeEngineIsHeard() {
+        return new OpenHold(hold, NEVER, needed, true, 0);
+    }
+
+    /** {@return the same where one release was done of those that have to follow each other} */
+    OpenHold releasedAgainAt(long time) {
+        return new OpenHold(hold, time, needed, false, releasesLeft - 1);
+    }
+
+    /** {@return the same where its engine need not be heard any more} */
+    OpenHold settledAt(long time) {
+        return new OpenHold(hold, time, needed, false, 0);
     }
 }
--- a/core/src/main/java/sorrelhoist/core/reservation/ReleasePolicy.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReleasePolicy.java
@@ -73,8 +73,9 @@
     }
 
     /**
-     * {@return how long a release is tried for; what no engine has released by then is reported and
-     * forgotten}
+     * {@return how long a release is tried for; what no engine has released by then is reported.
+     * Where its holder alone could, it is forgotten; where any engine can, it is tried again in
+     * this interval, as engines return}
      */
     public long expiryMicros() {
         return limitMicros * EXPIRY_FACTOR;
--- a/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
@@ -5,7 +5,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
+import sorrelhoist.core.reservation.Hold.Certainty;
 
 /** The holds of one key, the attempt that may take them, and the calls that release them. */
 final class Reservation {
@@ -37,6 +40,19 @@
         }
     }
 
+    /** A release that was sent and not answered. */
+    private static final class PendingCall {
+        final long madeAt;
+
+        /** Whether a decode was with an engine since the call was made. */
+        boolean decodeWasOut;
+
+        PendingCall(long madeAt, boolean decodeWasOut) {
+            this.madeAt = madeAt;
+            this.decodeWasOut = decodeWasOut;
+        }
+    }
+
     final ReservationKey key;
     final ReservationHistory history = new ReservationHistory();
 
@@ -46,8 +62,7 @@
     private final ReleasePolicy policy;
     private final List<OpenHold> holds = new ArrayList<>();
 
-    /** Calls that were made and not answered, with the time of each. */
-    private final Map<Long, Long> calls = new HashMap<>();
+    private final Map<Long, PendingCall> calls = new HashMap<>();
 
     private final Set<String> asked = new HashSet<>();
     private Attempt attempt;
@@ -58,6 +73,7 @@
     private int callsMade;
     private String lastAsked = "";
     private int releasesMade;
+    private boolean expired;
 
     /** Whether an attempt that was to take what is held has ended without a stream. */
     private boolean takeFailed;
@@ -91,6 +107,7 @@
             history.add(ReservationStep.WRITTEN, attempt.engine, now);
             attempt.progress = Progress.WRITTEN;
             attempt.writtenAt = now;
+            noteDecodeOut();
         }
     }
 
@@ -99,9 +116,25 @@
         if (attempt != null) {
             history.add(ReservationStep.DELIVERED, attempt.engine, now);
             attempt.progress = Progress.DELIVERED;
+            noteDecodeOut();
+        }
+    }
+
+    /** Releases that are on their way may arrive while a decode waits for what they would end. */
+    private void noteDecodeOut() {
+        if (isDecodeOut()) {
+            calls.values().forEach(call -> call.decodeWasOut = true);
         }
     }
 
+    /** {@return whether a decode may be with an engine, so that a release proves nothing} */
+    private boolean isDecodeOut() {
+        return policy.reach() == ReleaseReach.ANY_ENGINE
+                && attempt != null
+                && attempt.purpose != AttemptPurpose.PREFILL
+                && attempt.progress != Progress.CONNECTING;
+    }
+
     /** A connection to the attempt's engine has to come up first. */
     void attemptConnecting(long now) {
         if (attempt != null) {
@@ -124,10 +157,8 @@
         if (attempt != null) {
             history.add(ReservationStep.of(ending), attempt.engine, now);
             takeFailed |= attempt.purpose == AttemptPurpose.DECODE_RESERVED;
-        }
-        if (attempt != null && attempt.stoppedRelease && !reached) {
-            unwanted = true;
             callableFrom = Math.min(callableFrom, now);
+            unwanted |= attempt.stoppedRelease && !reached;
         }
         attempt = null;
         idleSince = reached ? now : idleSince;
@@ -160,13 +191,19 @@
      */
     void taken(long now) {
         history.add(ReservationStep.TAKEN, "", now);
-        holds.removeIf(open -> open.provableFrom() <= now && !open.awaitsEngine());
+        replaceHolds(open -> HoldProof.afterStream(open, now));
         takeFailed = false;
         attempt = null;
         unwanted = true;
         callableFrom = nextProvable(now);
     }
 
+    private void replaceHolds(Function<OpenHold, Optional<OpenHold>> proof) {
+        List<OpenHold> left = holds.stream().map(proof).flatMap(Optional::stream).toList();
+        holds.clear();
+        holds.addAll(left);
+    }
+
     boolean holdsNothing() {
         return holds.isEmpty();
     }
@@ -194,7 +231,8 @@
         if (holds.stream().anyMatch(open -> open.awaits(engine))) {
             history.add(ReservationStep.ENGINE_REMOVED, engine, now);
         }
-        holds.removeIf(open -> open.awaits(engine));
+        holds.replaceAll(open -> HoldProof.afterEngineRemoved(open, engine, policy, now));
+        callableFrom = Math.min(callableFrom, nextProvable(now));
     }
 
     /** {@return why what is held is released now} */
@@ -255,7 +293,12 @@
 
     /** {@return the hold whose engine is asked first} */
     Hold latest() {
-        return holds.get(holds.size() - 1).hold();
+        Hold latest = holds.get(holds.size() - 1).hold();
+        for (OpenHold open : holds) {
+            // An engine in whose queue a decode may stand holds nothing itself.
+            latest = open.hold().kind() == Hold.Kind.QUEUED_DECODE ? latest : open.hold();
+        }
+        return latest;
     }
 
     Set<String> asked() {
@@ -265,7 +308,7 @@
     /** A call was made. */
     void called(long call, String engine, long now) {
         history.add(ReservationStep.RELEASE_SENT, engine, now);
-        calls.put(call, now);
+        calls.put(call, new PendingCall(now, isDecodeOut()));
         asked.add(engine);
         lastAsked = engine;
         callsMade++;
@@ -275,6 +318,10 @@
 
     /** No engine can be asked now. */
     void waitForAnswer(long now) {
+        if (expired) {
+            callableFrom = now + policy.expiryMicros();
+            return;
+        }
         // The first few follow each other quickly, as the limit runs; after that it is too late for
         // haste.
         callableFrom =
@@ -282,6 +329,18 @@
         expiresAt = expiresAt == Long.MAX_VALUE ? now + policy.expiryMicros() : expiresAt;
     }
 
+    /** No engine has released it in time. It is still tried, now and then, as engines return. */
+    void expire(long now) {
+        history.add(ReservationStep.EXPIRED, "", now);
+        expired = true;
+        expiresAt = Long.MAX_VALUE;
+        callableFrom = now + policy.expiryMicros();
+    }
+
+    boolean hasExpired() {
+        return expired;
+    }
+
     /** A call ended without a release: another engine is asked, the first few at once. */
     void callFailed(long call, boolean others, long now) {
         if (calls.remove(call) == null) {
@@ -294,22 +353,35 @@
     }
 
     /**
-     * A call released all that could be proven when it was made. {@return whether the call was
-     * waited for}
+     * A call was answered. {@return whether that proves that what could be released when it was
+     * made is gone}
      */
     boolean callDone(long call, long now) {
-        Long madeAt = calls.remove(call);
-        if (madeAt == null) {
+        PendingCall answered = calls.remove(call);
+        if (answered == null) {
+            return false;
+        }
+        expired = false;
+        if (answered.decodeWasOut) {
+            history.add(ReservationStep.RELEASE_UNPROVEN, "", now);
+            releaseAgainLater(now);
             return false;
         }
         history.add(ReservationStep.RELEASE_PROVEN, "", now);
-        holds.replaceAll(open -> open.released(policy, madeAt));
-        holds.removeIf(open -> open.provableFrom() <= madeAt);
+        replaceHolds(open -> HoldProof.afterRelease(open, policy, answered.madeAt));
         callableFrom = nextProvable(0);
         resetCalls();
         return true;
     }
 
+    /** The decode may never have arrived, so it does not put the next release off without end. */
+    private void releaseAgainLater(long now) {
+        if (calls.isEmpty()) {
+            resetCalls();
+            callableFrom = isDecodeOut() ? now + policy.settleMicros() : now;
+        }
+    }
+
     /** {@return the calls that are not waited for any more} */
     List<Long> abandonCalls(long now) {
         List<Long> abandoned = List.copyOf(calls.keySet());
@@ -348,8 +420,13 @@
 
     /** {@return whether it has waited for longer than the limit, said once} */
     boolean becameOverdue(long now) {
+        boolean confirmed =
+                holds.stream().anyMatch(open -> open.hold().certainty() == Certainty.CONFIRMED);
         boolean overdue =
-                !overdueReported && attempt == null && now - idleSince > policy.limitMicros();
+                confirmed
+                        && !overdueReported
+                        && attempt == null
+                        && now - idleSince > policy.limitMicros();
         overdueReported |= overdue;
         return overdue;
     }
--- a/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
@@ -4,7 +4,6 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import sorrelhoist.core.time.TimerQueue;
@@ -14,11 +13,11 @@
  * kept.
  *
  * <p>A hold is opened by each outcome that can leave something, also by prefills that were lost or
- * cancelled. It ends by proof alone: a stream began, which has taken it; or an engine has answered
- * a release that was sent when nothing could be added to it any more. While an attempt that takes
- * it is with its engine, nothing is sent. In every other case a release is under way after half the
- * limit at the latest, counted from the request's last outcome; at once where the request is over.
- * Time runs on while an attempt's connection does not come up.
+ * cancelled, and by decodes that may still stand in a queue. It ends by proof alone: {@link
+ * HoldProof} says what is one. While an attempt that takes it is with its engine, nothing is sent.
+ * In every other case a release is under way after half the limit at the latest, counted from the
+ * request's last outcome; at once where the request is over. Time runs on while an attempt's
+ * connection does not come up, and while nothing shows that it arrived.
  *
  * <p>One thread at a time.
  */
@@ -118,6 +117,11 @@
         update(key, reservation -> reservation.attemptDelivered(now));
     }
 
+    /** {@return whether a key holds anything} */
+    public boolean isHeld(ReservationKey key) {
+        return reservations.containsKey(key);
+    }
+
     /** {@return since when what a key holds waits; {@code otherwise} where it holds nothing} */
     public long idleSince(ReservationKey key, long otherwise) {
         Reservation reservation = reservations.get(key);
@@ -134,9 +138,9 @@
 
     /** An engine left the endpoint list: nothing that was on its way there arrives any more. */
     public void engineRemoved(String engine, long now) {
-        for (Reservation reservation : List.copyOf(reservations.values())) {
+        for (Reservation reservation : reservations.values()) {
             reservation.engineRemoved(engine, now);
-            forgetIfEmpty(reservation, now);
+            scheduleTimer(reservation);
         }
     }
 
@@ -258,6 +262,9 @@
     }
 
     private void call(Reservation reservation, String engine, long now) {
+        if (reservation.hasExpired()) {
+            abandonCalls(reservation, now);
+        }
         long call = ++lastCall;
         calls.put(call, reservation);
         if (reservation.becameOverdue(now)) {
@@ -280,16 +287,28 @@
         reservations.values().stream()
                 .filter(Reservation::isUnwanted)
                 .findFirst()
-                .ifPresent(reservation -> expire(reservation, now));
+                .ifPresent(reservation -> evict(reservation, now));
     }
 
-    private void expire(Reservation reservation, long now) {
-        int made = reservation.callsMade();
-        String engine = reservation.lastAsked();
+    private void evict(Reservation reservation, long now) {
+        reportExpired(reservation);
         abandonCalls(reservation, now);
         reservations.remove(reservation.key);
+    }
+
+    private void expire(Reservation reservation, long now) {
+        if (policy.reach() == ReleaseReach.HOLDER) {
+            evict(reservation, now);
+            return;
+        }
+        reportExpired(reservation);
+        abandonCalls(reservation, now);
+        reservation.expire(now);
+    }
+
+    private void reportExpired(Reservation reservation) {
         expiredCount++;
-        releaseClient.expired(reservation.key, engine, made);
+        releaseClient.expired(reservation.key, reservation.lastAsked(), reservation.callsMade());
     }
 
     private void forgetIfEmpty(Reservation reservation, long now) {
@@ -314,6 +333,7 @@
         return (int)
                 reservations.values().stream()
                         .filter(reservation -> !reservation.awaitsEngineOnly())
+                        .filter(reservation -> !reservation.hasExpired())
                         .count();
     }
 
@@ -343,7 +363,7 @@
                 .orElse(0);
     }
 
-    /** {@return reservations that were given up on since the start} */
+    /** {@return reservations that no engine has released in time, or that made room for others} */
     public long expiredCount() {
         return expiredCount;
     }
--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/reservation/ReservationModel.java
@@ -0,0 +1,279 @@
+package sorrelhoist.core.reservation;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One request with a state at a reader, two workers that decode, and a table that is told of it
+ * what a router would know. The model knows where bytes really are: it lets a release take effect
+ * only where no decode waits for the state, whatever the release is answered.
+ */
+final class ReservationModel {
+    private static final long STEP = 20_000;
+    private static final ReservationKey KEY = ReservationTableTestSupport.KEY;
+    private static final ReleasePolicy POLICY = ReservationTableTestSupport.POLICY;
+
+    /** What can happen. Those that are not possible now change nothing. */
+    enum Event {
+        SENT,
+        WRITTEN,
+        ARRIVED,
+        DELIVERED,
+        STREAM_BEGAN,
+        ENDED_BY_ENGINE,
+        CONNECTION_LOST,
+        GIVEN_UP,
+        CLOSE_ARRIVED,
+        ENGINE_HEARD,
+        ENGINE_REMOVED,
+        UNWANTED,
+        RELEASE_ARRIVED,
+        RELEASE_ANSWERED,
+        TIME_PASSED
+    }
+
+    /** One decode, as the router and as its engine see it. */
+    private static final class Decode {
+        final int number;
+        boolean written;
+        boolean arrived;
+        boolean delivered;
+        boolean overForRouter;
+        boolean overForEngine;
+        long overAt;
+
+        Decode(int number) {
+            this.number = number;
+        }
+
+        String engine() {
+            return "w" + number;
+        }
+
+        boolean waitsForState() {
+            return arrived && !overForEngine;
+        }
+    }
+
+    private final List<Decode> decodes = new ArrayList<>();
+
+    /** Releases on their way, and whether each has arrived. */
+    private final Map<Long, Boolean> releases = new LinkedHashMap<>();
+
+    private final ReservationTable table =
+            new ReservationTable(POLICY, (hold, asked) -> "r0", new Releases(), 4);
+    private boolean held = true;
+    private boolean unwanted;
+    private long now;
+
+    ReservationModel() {
+        table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
+    }
+
+    private final class Releases implements ReleaseClient {
+        @Override
+        public void release(ReleaseCall call) {
+            releases.put(call.id(), false);
+        }
+
+        @Override
+        public void abandon(long call) {
+            // It may arrive all the same; its answer is not waited for.
+        }
+
+        @Override
+        public void expired(ReservationKey key, String engine, int calls) {
+            // Said in the log alone.
+        }
+
+        @Override
+        public void report(ReservationReport report) {
+            // Said in the log alone.
+        }
+    }
+
+    private Decode running() {
+        Decode last = decodes.isEmpty() ? null : decodes.get(decodes.size() - 1);
+        return last == null || last.overForRouter ? null : last;
+    }
+
+    /** Lets an event happen. {@return whether it was possible} */
+    boolean happen(Event event) {
+        passTo(now + STEP);
+        Decode running = running();
+        return switch (event) {
+            case SENT -> running == null && !unwanted && decodes.size() < 2 && send();
+            case WRITTEN -> running != null && !running.written && write(running);
+            case ARRIVED -> running != null && running.written && arrive(running);
+            case DELIVERED -> running != null && running.arrived && deliver(running);
+            case STREAM_BEGAN -> running != null && running.arrived && held && stream(running);
+            case ENDED_BY_ENGINE ->
+                    running != null && running.arrived && end(running, AttemptEnding.ANSWERED);
+            case CONNECTION_LOST ->
+                    running != null && running.written && end(running, AttemptEnding.LOST);
+            case GIVEN_UP ->
+                    running != null && running.written && end(running, AttemptEnding.GIVEN_UP);
+            case CLOSE_ARRIVED -> decodes.stream().anyMatch(this::closeArrives);
+            case ENGINE_HEARD -> decodes.stream().anyMatch(this::engineIsHeard);
+            case ENGINE_REMOVED -> decodes.stream().anyMatch(this::engineIsRemoved);
+            case UNWANTED -> !unwanted && running == null && letGo();
+            case RELEASE_ARRIVED -> releases.containsValue(false) && releaseArrives();
+            case RELEASE_ANSWERED -> releases.containsValue(true) && releaseIsAnswered();
+            case TIME_PASSED -> passTo(now + POLICY.idleMicros());
+        };
+    }
+
+    private boolean send() {
+        Decode decode = new Decode(decodes.size());
+        decodes.add(decode);
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED, decode.engine(), now);
+        table.attemptConnecting(KEY, now);
+        return true;
+    }
+
+    private boolean write(Decode decode) {
+        decode.written = true;
+        table.attemptWritten(KEY, now);
+        return true;
+    }
+
+    private boolean arrive(Decode decode) {
+        boolean first = !decode.arrived;
+        decode.arrived = true;
+        return first;
+    }
+
+    private boolean deliver(Decode decode) {
+        boolean first = !decode.delivered;
+        decode.delivered = true;
+        table.attemptDelivered(KEY, now);
+        return first;
+    }
+
+    /** Its engine fetches the state, and whatever else is held goes with it. */
+    private boolean stream(Decode decode) {
+        held = false;
+        unwanted = true;
+        decode.overForRouter = true;
+        decode.overForEngine = true;
+        table.taken(KEY, now);
+        return true;
+    }
+
+    private boolean end(Decode decode, AttemptEnding ending) {
+        decode.overForRouter = true;
+        decode.overAt = now;
+        if (ending == AttemptEnding.ANSWERED) {
+            decode.overForEngine = true;
+        } else if (table.isHeld(KEY)) {
+            Hold.Certainty certainty =
+                    decode.delivered ? Hold.Certainty.GIVEN_UP : Hold.Certainty.UNDELIVERED;
+            table.opened(KEY, Hold.ofQueuedDecode(decode.engine(), decode.number, certainty), now);
+        }
+        table.attemptEnded(KEY, ending, now);
+        return true;
+    }
+
+    /** Where nothing keeps it from arriving, it does so within the settling time. */
+    private boolean closeArrives(Decode decode) {
+        boolean arrives = decode.overForRouter && !decode.overForEngine;
+        decode.overForEngine |= arrives;
+        return arrives;
+    }
+
+    /** An engine that speaks after the end of an attempt runs: it learns of the end as well. */
+    private boolean engineIsHeard(Decode decode) {
+        if (!decode.overForRouter || now - decode.overAt < STEP) {
+            return false;
+        }
+        decode.overForEngine = true;
+        table.engineHeard(decode.engine(), now);
+        return true;
+    }
+
+    private boolean engineIsRemoved(Decode decode) {
+        if (!decode.overForRouter || decode.overForEngine) {
+            return false;
+        }
+        decode.overForEngine = true;
+        table.engineRemoved(decode.engine(), now);
+        return true;
+    }
+
+    private boolean letGo() {
+        unwanted = true;
+        table.unwanted(KEY, now);
+        return true;
+    }
+
+    private boolean releaseArrives() {
+        long call = first(false);
+        releases.put(call, true);
+        held &= decodes.stream().anyMatch(Decode::waitsForState);
+        return true;
+    }
+
+    private boolean releaseIsAnswered() {
+        long call = first(true);
+        releases.remove(call);
+        table.releaseCompleted(call, true, now);
+        return true;
+    }
+
+    private long first(boolean arrived) {
+        return releases.entrySet().stream()
+                .filter(entry -> entry.getValue() == arrived)
+                .findFirst()
+                .orElseThrow()
+                .getKey();
+    }
+
+    private boolean passTo(long time) {
+        while (table.nextDueMicros() <= time) {
+            now = Math.max(now, table.nextDueMicros());
+            table.advance(now);
+        }
+        now = time;
+        return true;
+    }
+
+    /**
+     * The request ends, engines run and are heard, and releases arrive and are answered at once.
+     *
+     * @return whether the state is released within the limit and the table knows it
+     */
+    boolean endsClean() {
+        Decode running = running();
+        if (running != null) {
+            end(running, running.written ? AttemptEnding.GIVEN_UP : AttemptEnding.NOT_SENT);
+        }
+        if (!unwanted) {
+            letGo();
+        }
+        passTo(now + STEP);
+        decodes.forEach(decode -> decode.overForEngine = true);
+        decodes.forEach(decode -> table.engineHeard(decode.engine(), now));
+        long due = now + POLICY.limitMicros();
+        long lateArrivalsEnd = now + POLICY.expiryMicros() * 2;
+        while (now < due) {
+            answerReleases();
+        }
+        boolean releasedInTime = !held;
+        while (now < lateArrivalsEnd) {
+            answerReleases();
+        }
+        return releasedInTime && table.size() == 0;
+    }
+
+    private void answerReleases() {
+        passTo(now + STEP);
+        while (releases.containsValue(false)) {
+            releaseArrives();
+        }
+        while (releases.containsValue(true)) {
+            releaseIsAnswered();
+        }
+    }
+}
--- a/lab/src/main/java/sorrelhoist/lab/soak/RequestTrace.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/RequestTrace.java
@@ -88,7 +88,13 @@
         final WorkerEntry.Role role;
         final String worker;
         final long firstByteAt;
+
+        /** When its last byte had come to the worker's machine, whether or not the worker ran. */
+        long lastByteAt = NEVER;
+
+        /** When the worker took it. */
         long arrivedAt = NEVER;
+
         long budgetMillis = -1;
 
         /** Whether the worker rejected it: it has not run. */
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerConnection.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerConnection.java
@@ -31,6 +31,7 @@
     private HttpBodyDecoder body;
     private WorkerAttempt attempt;
     private long firstByteAt;
+    private long latestByteAt;
     private long idleSince;
     private boolean closed;
 
@@ -115,6 +116,7 @@
         if (!unread.isReadable() && head == null) {
             firstByteAt = System.nanoTime();
         }
+        latestByteAt = System.nanoTime();
         unread.discardReadBytes().writeBytes(in);
         in.release();
         if (!worker.isStopped()) {
@@ -168,6 +170,7 @@
             return;
         }
         AttemptTrace trace = new AttemptTrace(worker.role, worker.uid, firstByteAt);
+        trace.lastByteAt = latestByteAt;
         trace.arrivedAt = System.nanoTime();
         trace.budgetMillis = Long.parseLong(head.header("x-budget-ms"));
         trace.endedAt = unnoticedCloseAt;
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
@@ -85,6 +85,9 @@
         List.copyOf(connections).forEach(WorkerConnection::reset);
         long now = System.nanoTime();
         for (RequestTrace request : log.requests()) {
+            request.attempts.stream()
+                    .filter(attempt -> attempt.worker.equals(uid) && attempt.isWaitingForState())
+                    .forEach(attempt -> attempt.waitEndedAt = now);
             for (StateTrace state : request.states) {
                 if (state.worker.equals(uid) && state.isHeld()) {
                     state.releasedAt = now;
