Test related paths of unproven releases, and release cancelled gRPC prefills twice

gRPC: a cancellation and a release may travel on two connections of a channel, so that the release of a cancelled prefill can come first; the settling time was 0 there on the belief that 'the engine knows'. The stand-in engine does not: PrefillService holds the state of a prefill that is cancelled after its release. The settling time now holds for both kinds of releases.

--- a/core/src/main/java/sorrelhoist/core/reservation/ReleasePolicy.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReleasePolicy.java
@@ -51,12 +51,11 @@
     }
 
     /**
-     * {@return how long a cancelled prefill may still end at its engine} Its connection is closed
-     * at once, but a release travels on another one and may overtake the close. Where releases name
-     * an attempt, the engine knows.
+     * {@return how long an attempt that is over may still be under way at its engine} It is
+     * cancelled at once, but a release travels on another connection and may overtake that.
      */
     public long settleMicros() {
-        return reach == ReleaseReach.ANY_ENGINE ? limitMicros / SETTLED_SHARE : 0;
+        return limitMicros / SETTLED_SHARE;
     }
 
     /** {@return how long one engine's answer is waited for before another is asked as well} */
--- a/core/src/test/java/sorrelhoist/core/request/RouterReservationTest.java
+++ b/core/src/test/java/sorrelhoist/core/request/RouterReservationTest.java
@@ -31,6 +31,21 @@
         assertNothingLeft();
     }
 
+    /** Nothing orders a cancellation and a release that travel on two connections. */
+    @Test
+    void aCancelledPrefillIsReleasedAgainAsItsCancellationMayComeAfterTheRelease() {
+        long client = router.requestArrived(0, Fleet.call(Fleet.SAFE, 10, 0));
+        router.clientDisconnected(5_000, client);
+        Command.ReleaseReservation first = last(Command.ReleaseReservation.class);
+        router.releaseCompleted(6_000, first.releaseId(), true);
+        router.advance(5_000 + Fleet.RELEASE);
+        Command.ReleaseReservation second = last(Command.ReleaseReservation.class);
+        assertEquals(2, all(Command.ReleaseReservation.class).size());
+        assertEquals(first.engine(), second.engine());
+        router.releaseCompleted(5_000 + Fleet.RELEASE, second.releaseId(), true);
+        assertEquals(0, router.metrics().reservationCount());
+    }
+
     /**
      * The policy goes back to a reader after a writer's error, with the first state still at its
      * reader.
--- a/core/src/test/java/sorrelhoist/core/request/UnprovenReleaseTest.java
+++ b/core/src/test/java/sorrelhoist/core/request/UnprovenReleaseTest.java
@@ -4,12 +4,22 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import sorrelhoist.routing.RoutingEvents.Outcome;
+import sorrelhoist.routing.RoutingEvents.ServerLoad;
 
 /**
  * A release lets go of nothing that an attempt waits for, and is answered all the same: its answer
  * proves nothing where an attempt may have had the state when it arrived.
  */
 class UnprovenReleaseTest extends PlatformAttemptTestSupport {
+    /** Lets time pass; engines answer releases within a step. */
+    private void passAnsweringTo(long time) {
+        while (now < time) {
+            passTo(now + STEP);
+            answerReleases();
+        }
+    }
+
     private int releases() {
         return all(Command.ReleaseReservation.class).size();
     }
@@ -45,4 +55,70 @@
         passTo(now + Fleet.RELEASE);
         assertTrue(releases() > 1, "released once, and that may have come before the close");
     }
+
+    /** It may stand in the queue of an engine that is stopped, and wait for the state there. */
+    @Test
+    void whatADecodeWaitsForAtAStoppedEngineIsReleasedOnceThatEngineIsHeard() {
+        Command.StartDecode decode = decodeWritten(Fleet.SAFE);
+        passTo(PREFILLED + Fleet.RELEASE / 10);
+        router.bytesReceived(now, decode.engine(), now);
+        router.clientDisconnected(now, client);
+        answerReleases();
+        assertEquals(1, router.metrics().releasableReservations(), "an exit waits for the next");
+        passAnsweringTo(now + Fleet.RELEASE);
+        assertEquals(0, router.metrics().releasableReservations(), "nothing to wait for");
+        passAnsweringTo(now + 10 * Fleet.SECOND);
+        int before = releases();
+        assertEquals(1, router.metrics().reservationCount());
+        router.bytesReceived(now, decode.engine(), now);
+        passAnsweringTo(now + Fleet.RELEASE);
+        assertEquals(before + 1, releases());
+        assertEquals(0, router.metrics().reservationCount());
+    }
+
+    /** Its engine may be stopped, and may not have noticed that the connection is gone. */
+    @Test
+    void whatAPrefillLeavesWhoseConnectionBrokeIsReleasedOnceItsEngineIsHeard() {
+        client = router.requestArrived(now, Fleet.call(Fleet.SAFE, 10, BUDGET));
+        Command.StartAttempt prefill = written(all(Command.StartPrefill.class).get(0));
+        passTo(PREFILLED);
+        router.attemptFailed(now, prefill.attempt(), Outcome.RESET, 0, ServerLoad.NONE);
+        router.clientDisconnected(now, client);
+        passAnsweringTo(now + 3 * Fleet.RELEASE);
+        int before = releases();
+        router.bytesReceived(now, prefill.engine(), now);
+        passAnsweringTo(now + Fleet.RELEASE);
+        assertEquals(before + 1, releases());
+    }
+
+    @Test
+    void whatAnEngineHasAnsweredIsReleasedOnce() {
+        Command.StartDecode decode = decodeWritten(Fleet.UNSAFE);
+        router.attemptFailed(now, decode.attempt(), Outcome.ERROR, 0, ServerLoad.NONE);
+        passAnsweringTo(now + Fleet.RELEASE);
+        assertEquals(1, releases());
+        assertEquals(0, router.metrics().reservationCount());
+    }
+
+    /** A release that is given up may arrive after the prompt was read again. */
+    @Test
+    void aStateThatALateReleaseTookAwayIsReadAgain() {
+        Command.StartDecode decode = decodeWritten(Fleet.UNSAFE);
+        router.attemptFailed(now, decode.attempt(), Outcome.FULL, 1, ServerLoad.NONE);
+        assertEquals(2, all(Command.StartPrefill.class).size());
+        assertEquals(0, all(Command.FinishRequest.class).size());
+    }
+
+    /** Other connections pass bytes, and that of the decode fell silent as it was written. */
+    @Test
+    void aStateIsReleasedOnceWithinItsLimitThoughBytesOnAnotherConnectionSpeakForItsDecode() {
+        Command.StartDecode decode = decodeWritten(Fleet.SAFE);
+        passTo(PREFILLED + Fleet.RELEASE / 20);
+        router.bytesReceived(now, decode.engine(), now);
+        passAnsweringTo(PREFILLED + Fleet.RELEASE);
+        assertEquals(1, releases());
+        assertEquals(1, all(Command.StartDecode.class).size(), "it may be there");
+        passAnsweringTo(now + Fleet.RELEASE);
+        assertEquals(1, releases());
+    }
 }
