Release once within the limit what an unanswered decode is to take

Ruled out by the reservation line of the router: that a release was lost, or that the worker had the decode.

What such a decode is to take is now released once, after three fifths of the limit: nothing comes of it where the decode waits for the state, and the hold is released anew when the decode has ended. Transports that cannot tell what is written (gRPC) are as before.

Changed tests: aDecodeThatWasDeliveredStopsTheTimeOfItsState and aDecodeOfAnEngineThatSpeaksKeepsItsState asked for no release while such a decode is out. In their place: none where the transport takes it for delivered, exactly one where bytes of another connection speak for it, none before three fifths of the limit, and no second decode.

--- a/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
@@ -33,6 +33,12 @@
         Progress progress = Progress.CONNECTING;
         long writtenAt;
 
+        /** Whether it was written before anything showed that it arrived. */
+        boolean deliveryInferred;
+
+        /** Whether a release was answered since it was written. */
+        boolean releaseAnswered;
+
         Attempt(AttemptPurpose purpose, String engine, boolean stoppedRelease) {
             this.purpose = purpose;
             this.engine = engine;
@@ -115,6 +121,7 @@
     void attemptDelivered(long now) {
         if (attempt != null) {
             history.add(ReservationStep.DELIVERED, attempt.engine, now);
+            attempt.deliveryInferred = attempt.progress == Progress.WRITTEN;
             attempt.progress = Progress.DELIVERED;
             noteDecodeOut();
         }
@@ -273,7 +280,7 @@
         return switch (attempt.progress) {
             case CONNECTING -> ordinary;
             case WRITTEN -> Math.max(ordinary, releasableIfUnconfirmed(attempt.writtenAt));
-            case DELIVERED -> Long.MAX_VALUE;
+            case DELIVERED -> releasableIfInferred();
         };
     }
 
@@ -282,6 +289,20 @@
                 || holds.stream().allMatch(OpenHold::needed);
     }
 
+    /**
+     * Bytes on another connection have shown that the engine of a decode runs. Its own connection
+     * may have fallen silent all the same, so what it is to take is released once within the limit:
+     * nothing comes of that where the decode waits for it.
+     */
+    private long releasableIfInferred() {
+        boolean due =
+                policy.reach() == ReleaseReach.ANY_ENGINE
+                        && attempt.purpose == AttemptPurpose.DECODE_RESERVED
+                        && attempt.deliveryInferred
+                        && !attempt.releaseAnswered;
+        return due ? idleSince + policy.latestStartMicros() : Long.MAX_VALUE;
+    }
+
     private long releasableIfUnconfirmed(long writtenAt) {
         return Math.min(
                 writtenAt + policy.confirmationMicros(), idleSince + policy.latestStartMicros());
@@ -364,6 +385,7 @@
         expired = false;
         if (answered.decodeWasOut) {
             history.add(ReservationStep.RELEASE_UNPROVEN, "", now);
+            noteReleaseAnswered();
             releaseAgainLater(now);
             return false;
         }
@@ -374,6 +396,12 @@
         return true;
     }
 
+    private void noteReleaseAnswered() {
+        if (attempt != null) {
+            attempt.releaseAnswered = true;
+        }
+    }
+
     /** The decode may never have arrived, so it does not put the next release off without end. */
     private void releaseAgainLater(long now) {
         if (calls.isEmpty()) {
