--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerAttempt.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerAttempt.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import sorrelhoist.lab.soak.RequestTrace.AttemptTrace;
 import sorrelhoist.lab.soak.RequestTrace.StateTrace;
 import sorrelhoist.lab.soak.WorkerEntry.Role;
@@ -20,6 +21,8 @@
     private static final int NEVER = -1;
     private static final int UNAVAILABLE = 503;
     private static final int GONE = 410;
+    private static final int INTERNAL_ERROR = 500;
+    private static final int TIME_OVER = 504;
     private static final String PREFILL_RESPONSE =
             "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":7}";
     private static final String NOISE_FOR_PREFILL = "\u0001\u0002 noise \r\n\r\n";
@@ -69,6 +72,10 @@
         misbehaviour = worker.drawMisbehaviour();
         if (worker.isDraining() || misbehaviour == Misbehaviour.FULL) {
             reject(UNAVAILABLE);
+        } else if (isTimeOver()) {
+            endOverdue();
+        } else if (misbehaviour == Misbehaviour.ERROR) {
+            answerError();
         } else if (misbehaviour == Misbehaviour.RESET_AFTER_REQUEST) {
             trace.waitEndedAt = System.nanoTime();
             connection.reset();
@@ -80,6 +87,21 @@
         }
     }
 
+    private boolean isTimeOver() {
+        long budget = TimeUnit.MILLISECONDS.toNanos(trace.budgetMillis);
+        return System.nanoTime() - trace.arrivedAt > budget;
+    }
+
+    /** Nobody needs it any more: it is rejected, or dropped without a word. It has not run. */
+    private void endOverdue() {
+        if (random().nextBoolean()) {
+            reject(TIME_OVER);
+        } else {
+            trace.rejected = true;
+            trace.waitEndedAt = Math.min(trace.waitEndedAt, System.nanoTime());
+        }
+    }
+
     private Random random() {
         return worker.random();
     }
@@ -124,11 +146,25 @@
         connection.attemptEnded();
     }
 
+    private void answerError() {
+        trace.waitEndedAt = System.nanoTime();
+        connection.write("HTTP/1.1 " + INTERNAL_ERROR + " Failed\r\nContent-Length: 0\r\n\r\n");
+        connection.attemptEnded();
+    }
+
     /** A slot and memory are free; the attempt may be one that nobody waits for any more. */
     private void fetchState() {
         if (trace.waitEndedAt != RequestTrace.NEVER) {
             return;
         }
+        if (isTimeOver()) {
+            endOverdue();
+            return;
+        }
+        if (misbehaviour == Misbehaviour.STATE_UNREACHABLE) {
+            reject(GONE);
+            return;
+        }
         trace.waitEndedAt = System.nanoTime();
         boolean fetched = request.releaseStates(trace.waitEndedAt);
         if (connection.isClosed()) {
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerConnection.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerConnection.java
@@ -157,8 +157,7 @@
                 return;
             }
             if (head.method().equals("DELETE")) {
-                worker.release(head.path().substring(HOLDS_PATH.length()));
-                write(NO_CONTENT);
+                release(head.path().substring(HOLDS_PATH.length()));
             } else {
                 write(NOT_FOUND);
             }
@@ -179,6 +178,15 @@
         attempt.start();
     }
 
+    private void release(String requestId) {
+        worker.release(requestId);
+        if (worker.drawMisbehaviour() == Misbehaviour.RESET_AFTER_REQUEST) {
+            reset();
+        } else {
+            write(NO_CONTENT);
+        }
+    }
+
     /** Sends text as it is. */
     void write(String text) {
         if (!closed) {
--- a/lab/src/test/java/sorrelhoist/lab/soak/WaitingDecodeTest.java
+++ b/lab/src/test/java/sorrelhoist/lab/soak/WaitingDecodeTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import org.junit.jupiter.api.Test;
 import sorrelhoist.lab.soak.RequestTrace.StateTrace;
 import sorrelhoist.lab.soak.WorkerEntry.Role;
@@ -29,6 +31,16 @@
         harness.run(() -> other.release(ID));
     }
 
+    private static boolean endsWithoutAnswer(Socket socket) throws IOException {
+        try {
+            return socket.getInputStream().read() < 0;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     private Socket decodeAt(HangMode mode) throws Exception {
         harness.run(() -> worker.hang(mode));
         Socket socket = connect();
@@ -112,4 +124,55 @@
             assertFalse(harness.call(() -> request.attempts.get(0).isWaitingForState()));
         }
     }
+
+    @Test
+    void aReleaseWhoseAnswerIsLostHasHadItsEffect() throws Exception {
+        harness.run(() -> worker.setMisbehaviour(Misbehaviour.RESET_AFTER_REQUEST, 1));
+        try (Socket socket = connect()) {
+            write(socket, delete());
+            await(() -> !state.isHeld());
+            assertTrue(endsWithoutAnswer(socket));
+        }
+    }
+
+    @Test
+    void aStateThatItsDecodeCannotReachIsSaidToBeGoneAndIsHeld() throws Exception {
+        harness.run(() -> worker.setMisbehaviour(Misbehaviour.STATE_UNREACHABLE, 1));
+        try (Socket socket = connect()) {
+            write(socket, inference());
+            assertEquals("410", status(socket));
+        }
+        assertTrue(isHeld());
+        assertFalse(harness.call(() -> request.attempts.get(0).isWaitingForState()));
+    }
+
+    @Test
+    void aDecodeThatEndsInAnErrorLeavesItsStateAndMayHaveRun() throws Exception {
+        harness.run(() -> worker.setMisbehaviour(Misbehaviour.ERROR, 1));
+        try (Socket socket = connect()) {
+            write(socket, inference());
+            assertEquals("500", status(socket));
+        }
+        assertTrue(isHeld());
+        assertTrue(harness.call(() -> request.attempts.get(0).mayHaveRun()));
+        releaseElsewhere();
+        assertFalse(isHeld());
+    }
+
+    /** The request's time is one second. */
+    @Test
+    void aDecodeWhoseTimeWasOverInTheQueueLeavesItsState() throws Exception {
+        try (Socket socket = decodeAt(HangMode.STALLED)) {
+            await(() -> request.attempts.size() == 1);
+            long over = harness.call(() -> request.attempts.get(0).arrivedAt) + 1_000_000_000;
+            await(() -> System.nanoTime() > over);
+            harness.run(worker::resume);
+            await(() -> !request.attempts.get(0).isWaitingForState());
+            assertTrue(isHeld());
+            assertTrue(harness.call(() -> request.attempts.get(0).rejected));
+            releaseElsewhere();
+            assertFalse(isHeld());
+            assertTrue(socket.isConnected());
+        }
+    }
 }
