Split reservations by concern: running attempt, pending releases, what attempts leave

ReservationAttempt owns how far the running attempt has come and what that stops; PendingReleases the calls under way and their pace; AttemptHolds says what ended attempts may leave.

--- a/core/src/main/java/sorrelhoist/core/request/AttemptDeliveries.java
+++ b/core/src/main/java/sorrelhoist/core/request/AttemptDeliveries.java
@@ -118,7 +118,7 @@
     }
 
     private boolean mayStayQueued(Attempt attempt) {
-        return !attempt.streaming && reservations.holdsFor(attempt);
+        return !attempt.streaming && reservations.mayWaitFor(attempt);
     }
 
     /** Bytes came from an engine; they had arrived at the earliest at a time. */
--- a/core/src/main/java/sorrelhoist/core/request/RequestReservations.java
+++ b/core/src/main/java/sorrelhoist/core/request/RequestReservations.java
@@ -207,63 +207,21 @@
      * @param awaitsEngine whether its engine has to be heard before its end is known there
      */
     void attemptEnded(Attempt attempt, Outcome outcome, boolean awaitsEngine) {
-        boolean written = attempt.delivery.isWritten() && outcome != Outcome.CONNECT_FAILED;
-        AttemptEnding ending = written ? endingOf(outcome) : AttemptEnding.NOT_SENT;
-        if (written && mayLeaveState(attempt, outcome)) {
+        AttemptEnding ending = AttemptHolds.endingOf(attempt, outcome);
+        Hold left = AttemptHolds.leftBy(attempt, outcome, awaitsEngine);
+        if (left != null && (left.isState() || mayWaitFor(attempt))) {
             ReservationKey key = keyOf(attempt);
-            table.opened(key, holdOfLostPrefill(attempt, awaitsEngine), clock.now());
+            table.opened(key, left, clock.now());
             if (!oneKeyPerRequest) {
                 table.unwanted(key, clock.now());
             }
-        } else if (mayStayQueued(attempt, ending)) {
-            table.opened(keyOf(attempt), holdOfQueuedDecode(attempt, awaitsEngine), clock.now());
         }
         keysOf(attempt.request).forEach(key -> table.attemptEnded(key, ending, clock.now()));
     }
 
-    private static AttemptEnding endingOf(Outcome outcome) {
-        return switch (outcome) {
-            case DONE, READ, ERROR, FULL -> AttemptEnding.ANSWERED;
-            case TIMED_OUT, CANCELLED -> AttemptEnding.GIVEN_UP;
-            default -> AttemptEnding.LOST;
-        };
-    }
-
-    /** {@return whether a decode may wait for what is held although it is over} */
-    private boolean mayStayQueued(Attempt attempt, AttemptEnding ending) {
-        boolean unanswered = ending == AttemptEnding.LOST || ending == AttemptEnding.GIVEN_UP;
-        return unanswered && !attempt.prefill && !attempt.streaming && holdsFor(attempt);
-    }
-
-    /** {@return whether an attempt's release could take effect only once its engine has let go} */
-    boolean holdsFor(Attempt attempt) {
-        return oneKeyPerRequest && table.isHeld(keyOf(attempt));
-    }
-
-    private static Hold holdOfLostPrefill(Attempt attempt, boolean awaitsEngine) {
-        int number = attempt.id.number();
-        if (!awaitsEngine) {
-            return Hold.ofLostPrefill(attempt.engine, number);
-        }
-        return attempt.delivery.isDelivered()
-                ? Hold.ofGivenUpPrefill(attempt.engine, number)
-                : Hold.ofUndeliveredPrefill(attempt.engine, number);
-    }
-
-    private static Hold holdOfQueuedDecode(Attempt attempt, boolean awaitsEngine) {
-        Hold.Certainty certainty = Hold.Certainty.POSSIBLE;
-        if (awaitsEngine) {
-            certainty =
-                    attempt.delivery.isDelivered()
-                            ? Hold.Certainty.GIVEN_UP
-                            : Hold.Certainty.UNDELIVERED;
-        }
-        return Hold.ofQueuedDecode(attempt.engine, attempt.id.number(), certainty);
-    }
-
-    /** A prefill may have ended well in the moment in which it was lost or cancelled. */
-    private static boolean mayLeaveState(Attempt attempt, Outcome outcome) {
-        return attempt.prefill && outcome != Outcome.READ && outcome != Outcome.FULL;
+    /** {@return whether something is held that a decode may wait for in its engine's queue} */
+    boolean mayWaitFor(Attempt decode) {
+        return oneKeyPerRequest && table.isHeld(keyOf(decode));
     }
 
     /** A stream began: its engine has fetched the state and used the slot. */
--- a/core/src/main/java/sorrelhoist/core/reservation/Hold.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Hold.java
@@ -81,7 +81,7 @@
     }
 
     /** {@return whether it is a prefill's state, or may become one} */
-    boolean isState() {
+    public boolean isState() {
         return kind == Kind.PREFILL_STATE;
     }
 }
--- /dev/null
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationAttempt.java
@@ -0,0 +1,108 @@
+package sorrelhoist.core.reservation;
+
+/** The running attempt of a request, as far as it concerns what is reserved. */
+final class ReservationAttempt {
+    /** How far it has come. */
+    private enum Progress {
+        CONNECTING,
+        WRITTEN,
+        DELIVERED
+    }
+
+    final String engine;
+
+    /** Whether the holds were being released until this attempt went out. */
+    final boolean stoppedRelease;
+
+    private final AttemptPurpose purpose;
+    private final ReleasePolicy policy;
+    private Progress progress = Progress.CONNECTING;
+    private long writtenAt;
+
+    /** Whether it was written before anything showed that it arrived. */
+    private boolean deliveryInferred;
+
+    /** Whether a release was answered since it was sent. */
+    private boolean releaseAnswered;
+
+    ReservationAttempt(
+            AttemptPurpose purpose, String engine, boolean stoppedRelease, ReleasePolicy policy) {
+        this.purpose = purpose;
+        this.engine = engine;
+        this.stoppedRelease = stoppedRelease;
+        this.policy = policy;
+    }
+
+    /** A connection to its engine has to come up first. */
+    void connecting() {
+        progress = Progress.CONNECTING;
+    }
+
+    /** Its last byte was written; nothing shows yet that its engine has it. */
+    void written(long now) {
+        progress = Progress.WRITTEN;
+        writtenAt = now;
+    }
+
+    /** Its engine has it, as far as evidence goes. */
+    void delivered() {
+        deliveryInferred = progress == Progress.WRITTEN;
+        progress = Progress.DELIVERED;
+    }
+
+    /** A release was answered, and proves nothing as the attempt is out. */
+    void releaseAnswered() {
+        releaseAnswered = true;
+    }
+
+    /** {@return whether it is to take what is reserved} */
+    boolean takesReservation() {
+        return purpose == AttemptPurpose.DECODE_RESERVED;
+    }
+
+    /**
+     * {@return whether it is a decode that may be with an engine, so that a release proves nothing}
+     */
+    boolean isDecodeOut() {
+        return policy.reach() == ReleaseReach.ANY_ENGINE
+                && purpose != AttemptPurpose.PREFILL
+                && progress != Progress.CONNECTING;
+    }
+
+    /** {@return whether it has stopped the time of what is held: it is known to have arrived} */
+    boolean hasReachedEngine(AttemptEnding ending) {
+        return switch (ending) {
+            case ANSWERED -> true;
+            case NOT_SENT -> false;
+            case LOST, GIVEN_UP -> progress == Progress.DELIVERED;
+        };
+    }
+
+    /**
+     * {@return from when on what it may take is released all the same; Long.MAX_VALUE for never}
+     *
+     * @param idleSince since when that waits
+     */
+    long releasableFrom(long idleSince) {
+        long ordinary = idleSince + policy.idleMicros();
+        long latest = idleSince + policy.latestStartMicros();
+        return switch (progress) {
+            case CONNECTING -> ordinary;
+            case WRITTEN ->
+                    Math.max(ordinary, Math.min(writtenAt + policy.confirmationMicros(), latest));
+            case DELIVERED -> mayHaveBeenLost() ? latest : Long.MAX_VALUE;
+        };
+    }
+
+    /**
+     * Bytes on another connection have shown that the engine of a decode runs. Its own connection
+     * may have fallen silent all the same, so what it is to take is released once within the limit:
+     * nothing comes of that where the decode waits for it.
+     */
+    private boolean mayHaveBeenLost() {
+        return policy.reach() == ReleaseReach.ANY_ENGINE
+                && takesReservation()
+                && deliveryInferred
+                && !releaseAnswered;
+    }
+}
--- a/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
@@ -243,11 +243,11 @@
         if (reservation.due() > now || reservations.get(reservation.key) != reservation) {
             return;
         }
-        if (reservation.isExpired(now)) {
+        if (reservation.releases().isExpired(now)) {
             expire(reservation, now);
             return;
         }
-        String engine = targets.select(reservation.latest(), reservation.asked());
+        String engine = targets.select(reservation.latest(), reservation.releases().asked());
         if (engine != null) {
             call(reservation, engine, now);
         } else if (policy.reach() == ReleaseReach.HOLDER) {
@@ -256,13 +256,13 @@
             reservations.remove(reservation.key);
         } else {
             // All were asked, or there are none: from the beginning, a little later.
-            reservation.forgetAsked();
-            reservation.waitForAnswer(now);
+            reservation.releases().forgetAsked();
+            reservation.releases().waitForAnswer(now);
         }
     }
 
     private void call(Reservation reservation, String engine, long now) {
-        if (reservation.hasExpired()) {
+        if (reservation.releases().hasExpired()) {
             abandonCalls(reservation, now);
         }
         long call = ++lastCall;
@@ -308,7 +308,8 @@
 
     private void reportExpired(Reservation reservation) {
         expiredCount++;
-        releaseClient.expired(reservation.key, reservation.lastAsked(), reservation.callsMade());
+        releaseClient.expired(
+                reservation.key, reservation.lastAsked(), reservation.releases().callsMade());
     }
 
     private void forgetIfEmpty(Reservation reservation, long now) {
@@ -333,7 +334,7 @@
         return (int)
                 reservations.values().stream()
                         .filter(reservation -> !reservation.awaitsEngineOnly())
-                        .filter(reservation -> !reservation.hasExpired())
+                        .filter(reservation -> !reservation.releases().hasExpired())
                         .count();
     }
 
