--- a/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
@@ -25,6 +25,9 @@
     /** Whether an attempt that was to take what is held has ended without a stream. */
     private boolean takeFailed;
 
+    /** Whether a release was answered, and no decode was out, since something was held last. */
+    private boolean releasedOnce;
+
     /** Whether it was reported that it has waited for too long. */
     private boolean overdueReported;
 
@@ -39,6 +42,7 @@
 
     void opened(Hold hold, long now) {
         history.add(ReservationStep.HELD, hold.engine(), now);
+        releasedOnce = false;
         holds.add(OpenHold.opened(hold, policy, now));
         releases.callBy(now);
     }
@@ -144,12 +148,11 @@
     }
 
     /**
-     * {@return whether it waits for an engine alone that has to be heard before a release is of
-     * use}
+     * {@return whether all that is held was released, and what is left is to make sure of it} That
+     * may take an engine that has to be heard first.
      */
-    boolean awaitsEngineOnly() {
-        return releases.isEmpty()
-                && holds.stream().allMatch(open -> open.provableFrom() == OpenHold.NEVER);
+    boolean isReleasedOnce() {
+        return releasedOnce && releases.isEmpty();
     }
 
     /** An engine is reachable again: what was on its way there arrives now, or never. */
@@ -250,6 +253,7 @@
             return false;
         }
         history.add(ReservationStep.RELEASE_PROVEN, "", now);
+        releasedOnce = true;
         replaceHolds(open -> HoldProof.afterRelease(open, policy, answered.madeAt));
         releases.callFrom(nextProvable(0));
         releases.restart();
--- a/core/src/main/java/sorrelhoist/core/reservation/ReservationAttempt.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationAttempt.java
@@ -90,7 +90,8 @@
             case CONNECTING -> ordinary;
             case WRITTEN ->
                     Math.max(ordinary, Math.min(writtenAt + policy.confirmationMicros(), latest));
-            case DELIVERED -> mayHaveBeenLost() ? latest : Long.MAX_VALUE;
+            case DELIVERED ->
+                    mayHaveBeenLost() ? idleSince + policy.inferredStartMicros() : Long.MAX_VALUE;
         };
     }
 
