--- a/core/src/main/java/sorrelhoist/core/request/RouterMetrics.java
+++ b/core/src/main/java/sorrelhoist/core/request/RouterMetrics.java
@@ -66,8 +66,8 @@
     }
 
     /**
-     * {@return reservations that were never released since something was held; the others are
-     * released again to make sure of it, and what a stopped router leaves is freed by its engines}
+     * {@return reservations of which something can be released as things are; the others wait for
+     * an engine to be reachable again}
      */
     public int releasableReservations() {
         return reservations.releasableCount();
--- a/core/src/main/java/sorrelhoist/core/reservation/ReleasePolicy.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReleasePolicy.java
@@ -14,7 +14,6 @@
     private static final int EXPIRY_FACTOR = 4;
     private static final int CONFIRMATION_SHARE = 5;
     private static final int LATEST_START_PERCENT = 60;
-    private static final int INFERRED_START_PERCENT = 80;
     private static final int PERCENT = 100;
     private static final int LATE_ARRIVAL_RELEASES = 4;
 
@@ -43,16 +42,6 @@
         return limitMicros * LATEST_START_PERCENT / PERCENT;
     }
 
-    /**
-     * {@return how long after a request's last outcome its reservations are released once, where
-     * bytes on another connection alone show that their engine has the attempt that takes them}
-     * That is rarely wrong, and most decodes are answered by then; one engine's answer still comes
-     * within the limit.
-     */
-    public long inferredStartMicros() {
-        return limitMicros * INFERRED_START_PERCENT / PERCENT;
-    }
-
     /**
      * {@return how often what an undelivered prefill may leave is released once its engine is heard
      * again} The calls follow each other at the limit, as the prefill may have to wait there.
--- a/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
@@ -25,9 +25,6 @@
     /** Whether an attempt that was to take what is held has ended without a stream. */
     private boolean takeFailed;
 
-    /** Whether a release was answered, and no decode was out, since something was held last. */
-    private boolean releasedOnce;
-
     /** Whether it was reported that it has waited for too long. */
     private boolean overdueReported;
 
@@ -42,7 +39,6 @@
 
     void opened(Hold hold, long now) {
         history.add(ReservationStep.HELD, hold.engine(), now);
-        releasedOnce = false;
         holds.add(OpenHold.opened(hold, policy, now));
         releases.callBy(now);
     }
@@ -148,11 +144,12 @@
     }
 
     /**
-     * {@return whether all that is held was released, and what is left is to make sure of it} That
-     * may take an engine that has to be heard first.
+     * {@return whether it waits for an engine alone that has to be heard before a release is of
+     * use}
      */
-    boolean isReleasedOnce() {
-        return releasedOnce && releases.isEmpty();
+    boolean awaitsEngineOnly() {
+        return releases.isEmpty()
+                && holds.stream().allMatch(open -> open.provableFrom() == OpenHold.NEVER);
     }
 
     /** An engine is reachable again: what was on its way there arrives now, or never. */
@@ -253,7 +250,6 @@
             return false;
         }
         history.add(ReservationStep.RELEASE_PROVEN, "", now);
-        releasedOnce = true;
         replaceHolds(open -> HoldProof.afterRelease(open, policy, answered.madeAt));
         releases.callFrom(nextProvable(0));
         releases.restart();
@@ -262,9 +258,6 @@
 
     /** The decode may never have arrived, so it does not put the next release off without end. */
     private void answerProvesNothing(long now) {
-        if (attempt != null) {
-            attempt.releaseAnswered();
-        }
         if (releases.isEmpty()) {
             releases.restart();
             releases.callFrom(isDecodeOut() ? now + policy.settleMicros() : now);
--- a/core/src/main/java/sorrelhoist/core/reservation/ReservationAttempt.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationAttempt.java
@@ -19,12 +19,6 @@
     private Progress progress = Progress.CONNECTING;
     private long writtenAt;
 
-    /** Whether it was written before anything showed that it arrived. */
-    private boolean deliveryInferred;
-
-    /** Whether a release was answered since it was sent. */
-    private boolean releaseAnswered;
-
     ReservationAttempt(
             AttemptPurpose purpose, String engine, boolean stoppedRelease, ReleasePolicy policy) {
         this.purpose = purpose;
@@ -46,15 +40,9 @@
 
     /** Its engine has it, as far as evidence goes. */
     void delivered() {
-        deliveryInferred = progress == Progress.WRITTEN;
         progress = Progress.DELIVERED;
     }
 
-    /** A release was answered, and proves nothing as the attempt is out. */
-    void releaseAnswered() {
-        releaseAnswered = true;
-    }
-
     /** {@return whether it is to take what is reserved} */
     boolean takesReservation() {
         return purpose == AttemptPurpose.DECODE_RESERVED;
@@ -90,20 +78,7 @@
             case CONNECTING -> ordinary;
             case WRITTEN ->
                     Math.max(ordinary, Math.min(writtenAt + policy.confirmationMicros(), latest));
-            case DELIVERED ->
-                    mayHaveBeenLost() ? idleSince + policy.inferredStartMicros() : Long.MAX_VALUE;
+            case DELIVERED -> Long.MAX_VALUE;
         };
     }
-
-    /**
-     * Bytes on another connection have shown that the engine of a decode runs. Its own connection
-     * may have fallen silent all the same, so what it is to take is released once within the limit:
-     * nothing comes of that where the decode waits for it.
-     */
-    private boolean mayHaveBeenLost() {
-        return policy.reach() == ReleaseReach.ANY_ENGINE
-                && takesReservation()
-                && deliveryInferred
-                && !releaseAnswered;
-    }
 }
--- a/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
@@ -329,11 +329,11 @@
         return reservations.size();
     }
 
-    /** {@return keys of which something was never released since it was held, and can be} */
+    /** {@return keys of which something can be released as things are} */
     public int releasableCount() {
         return (int)
                 reservations.values().stream()
-                        .filter(reservation -> !reservation.isReleasedOnce())
+                        .filter(reservation -> !reservation.awaitsEngineOnly())
                         .filter(reservation -> !reservation.releases().hasExpired())
                         .count();
     }
