Time routers without the queues of stand-in workers in system-call tests

Cause: since stand-in writers keep a decode up to 150 ms in their queue, which these tests timed as the router's. Their fixture sets that wait to 0; bounds and assertions are as they were, the soak keeps the wait.

--- a/app/src/test/java/sorrelhoist/lab/soak/RouterFixture.java
+++ b/app/src/test/java/sorrelhoist/lab/soak/RouterFixture.java
@@ -56,6 +56,10 @@
                                 folder.resolve("fleet"),
                                 library,
                                 1));
+        // What is timed here is the router, not the queues of workers.
+        for (WorkerNode worker : fleet.workers) {
+            fleet.runOnLoop(() -> worker.standIn.setMaxQueueMillis(0));
+        }
         router = fleet.routers.get(0);
         router.start();
         assertTrue(router.process.awaitReady(BOUND_MILLIS), router.process.log());
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerAttempt.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerAttempt.java
@@ -11,9 +11,6 @@
 final class WorkerAttempt {
     private static final int PREFILL_MILLIS = 25;
 
-    /** A decode waits up to so long for a slot and memory before its state is fetched. */
-    private static final int MAX_QUEUE_MILLIS = 150;
-
     private static final long FIRST_EVENT_MILLIS = 25;
     private static final int EVENT_MILLIS = 40;
     private static final int MAX_EVENTS = 25;
@@ -83,7 +80,7 @@
             int millis = PREFILL_MILLIS / 2 + random().nextInt(PREFILL_MILLIS);
             runLater(millis, this::completePrefill);
         } else {
-            runLater(random().nextInt(MAX_QUEUE_MILLIS), this::fetchState);
+            runLater(worker.drawQueueMillis(), this::fetchState);
         }
     }
 
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
@@ -17,6 +17,9 @@
  * except for {@link #start}.
  */
 final class WorkerStandIn {
+    /** A decode waits up to so long for a slot and memory, unless a test wants another time. */
+    private static final int MAX_QUEUE_MILLIS = 150;
+
     final String uid;
     final Role role;
     private final EventLoop loop;
@@ -28,6 +31,7 @@
     private int port;
     private HangMode hang;
     private boolean cancelsQueuedAttempts = true;
+    private int maxQueueMillis = MAX_QUEUE_MILLIS;
     private boolean draining;
     private Misbehaviour misbehaviour = Misbehaviour.NONE;
     private double misbehavingShare;
@@ -121,6 +125,16 @@
         cancelsQueuedAttempts = cancels;
     }
 
+    /** Sets how long a decode waits at most before its state is fetched. */
+    void setMaxQueueMillis(int millis) {
+        maxQueueMillis = millis;
+    }
+
+    /** {@return how long the next decode waits for a slot and memory} */
+    int drawQueueMillis() {
+        return random.nextInt(maxQueueMillis + 1);
+    }
+
     boolean cancelsQueuedAttempts() {
         return cancelsQueuedAttempts;
     }
