--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/request/AnsweringEnginesTestSupport.java
@@ -0,0 +1,101 @@
+package sorrelhoist.core.request;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import sorrelhoist.core.time.TimerQueue;
+
+/**
+ * Engines that answer releases and questions by themselves, but for those that are silent. What
+ * becomes of attempts is in the test's hands.
+ */
+abstract class AnsweringEnginesTestSupport extends PlatformAttemptTestSupport {
+    private static final long ANSWER_MICROS = 2 * STEP;
+
+    /** After which the transport does not wait for the answer to a question any more. */
+    private static final long QUESTION_TIMEOUT_MICROS = Fleet.SECOND;
+
+    private static final long MICROS_PER_MILLI = 1000;
+
+    /** Engines that nothing reaches and of which nothing comes. */
+    final Set<String> silentEngines = new HashSet<>();
+
+    private final TimerQueue<Runnable> answers = new TimerQueue<>();
+    private final List<Long> releaseTimes = new ArrayList<>();
+    private int commandsSeen;
+
+    /** Lets time pass; engines that are not silent answer. */
+    void passAnsweringTo(long time) {
+        answerNewCommands();
+        while (now < time) {
+            passTo(now + STEP);
+            for (Runnable due = answers.pollDue(now); due != null; due = answers.pollDue(now)) {
+                due.run();
+            }
+            answerNewCommands();
+        }
+    }
+
+    private void answerNewCommands() {
+        List<Command> news = List.copyOf(commands.subList(commandsSeen, commands.size()));
+        commandsSeen = commands.size();
+        for (Command command : news) {
+            if (command instanceof Command.ReleaseReservation release) {
+                releaseTimes.add(now);
+                answerRelease(release, now);
+            } else if (command instanceof Command.CheckReachability question) {
+                answerQuestion(question, now);
+            }
+        }
+    }
+
+    private void answerRelease(Command.ReleaseReservation release, long writtenAt) {
+        if (!silentEngines.contains(release.engine())) {
+            answers.schedule(
+                    now + ANSWER_MICROS,
+                    () -> {
+                        questionAnswered(release.engine(), writtenAt);
+                        router.releaseCompleted(now, release.releaseId(), true);
+                    });
+        }
+    }
+
+    private void answerQuestion(Command.CheckReachability question, long writtenAt) {
+        boolean silent = silentEngines.contains(question.engine());
+        answers.schedule(
+                now + (silent ? QUESTION_TIMEOUT_MICROS : ANSWER_MICROS),
+                () -> {
+                    if (!silent) {
+                        questionAnswered(question.engine(), writtenAt);
+                    }
+                    router.reachabilityChecked(now, question.engine(), true);
+                });
+    }
+
+    int releases() {
+        return all(Command.ReleaseReservation.class).size();
+    }
+
+    /** {@return the longest time without a release from one time to another, in milliseconds} */
+    long longestPauseMillis(long from, long to) {
+        long longest = 0;
+        long last = from;
+        for (long releasedAt : releaseTimes) {
+            if (releasedAt > from && releasedAt <= to) {
+                longest = Math.max(longest, releasedAt - last);
+                last = releasedAt;
+            }
+        }
+        return Math.max(longest, to - last) / MICROS_PER_MILLI;
+    }
+
+    boolean wasReleasedBetween(long from, long to) {
+        return releaseTimes.stream().anyMatch(time -> time >= from && time <= to);
+    }
+
+    /** {@return when the last release was sent, in microseconds; 0 for never} */
+    long lastReleaseAt() {
+        return releaseTimes.isEmpty() ? 0 : releaseTimes.get(releaseTimes.size() - 1);
+    }
+}
--- a/core/src/test/java/sorrelhoist/core/request/PlatformAttemptTestSupport.java
+++ b/core/src/test/java/sorrelhoist/core/request/PlatformAttemptTestSupport.java
@@ -55,4 +55,14 @@
         all(Command.ReleaseReservation.class)
                 .forEach(release -> router.releaseCompleted(now, release.releaseId(), true));
     }
+
+    /** Bytes of a running stream came from an engine; nothing that was sent now has caused them. */
+    void streamEventReceived(String engine) {
+        router.bytesReceived(now, engine, now);
+    }
+
+    /** An engine began to answer a call whose last byte was written at a time, in microseconds. */
+    void questionAnswered(String engine, long writtenAt) {
+        router.bytesReceived(now, engine, now);
+    }
 }
