Show by a failing test that the log cuts off the last steps of a reservation's history

Lines on standard error are cut after 400 characters (RateLimitedStderr); the history stands last in its line and may be longer, so its last steps, which say how it ended, are what is lost.

ReservationHistoryTest: of 42 steps, the 280 characters that are left for the history end in '(18 left out),+26:release-unprov'. That it says how many steps are left out, and that a short one is whole, pass.

--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/reservation/ReservationHistoryTest.java
@@ -0,0 +1,56 @@
+package sorrelhoist.core.reservation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** What the log keeps of the history of a reservation. */
+class ReservationHistoryTest {
+    /** Of a line; it is cut at its end. */
+    private static final int KEPT_CHARACTERS = 400;
+
+    /** Time, event, request, state, time held, number of releases. */
+    private static final int CHARACTERS_BEFORE_HISTORY = 120;
+
+    private static final int STEPS = 40;
+    private static final long MILLI = 1000;
+    private static final String ENGINE = "s-9a622335";
+
+    private final ReservationHistory history = new ReservationHistory();
+
+    private static String kept(String text) {
+        int room = KEPT_CHARACTERS - CHARACTERS_BEFORE_HISTORY;
+        return text.substring(0, Math.min(text.length(), room));
+    }
+
+    private void addSteps(int number) {
+        for (int i = 0; i < number; i++) {
+            history.add(ReservationStep.RELEASE_UNPROVEN, ENGINE, i * MILLI);
+        }
+    }
+
+    @Test
+    void theLastStepsOfALongHistoryAreNotCutOffByTheLog() {
+        addSteps(STEPS);
+        history.add(ReservationStep.GIVEN_UP, ENGINE, STEPS * MILLI);
+        history.add(ReservationStep.EXPIRED, "", (STEPS + 1) * MILLI);
+        String kept = kept(history.toString());
+        String last = "+40:given-up@" + ENGINE + ",+41:expired";
+        assertTrue(kept.endsWith(last), "the line ends in " + kept.substring(kept.length() - 40));
+    }
+
+    @Test
+    void aLongHistorySaysHowManyStepsAreLeftOut() {
+        addSteps(STEPS);
+        assertTrue(kept(history.toString()).contains("left out"), history.toString());
+    }
+
+    @Test
+    void aShortHistoryIsKeptWhole() {
+        history.add(ReservationStep.HELD, "r0", 0);
+        history.add(ReservationStep.SENT, "w0", 2 * MILLI);
+        history.add(ReservationStep.EXPIRED, "", 3 * MILLI);
+        assertEquals("+0:held@r0,+2:sent@w0,+3:expired", history.toString());
+    }
+}
