Release what an unheard engine may hold again and again, within the limit

Callers saw a state of theirs neither used nor let go of in time, a few at once where an engine was cut off with prefills under way. A prefill that nothing confirms is cancelled and read elsewhere; behind the cut its engine goes on, and what it has read is held there when it ends. The router released once after the settling time, and then not before it heard that engine: 'nothing shows that it arrived' was taken for 'it does not run'. Any engine that can be reached lets go of it, so the hold is now a lease: it is released every four fifths of the limit until its engine was heard, or has left the list, and four times more from then on, as the attempt's own connection may be silent while another one speaks. An exit waits for the first of these releases alone; what a stopped router leaves is freed by the platform.

--- a/core/src/main/java/sorrelhoist/core/reservation/HoldProof.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/HoldProof.java
@@ -19,7 +19,11 @@
  *     of its attempt's connection has arrived by then where its engine runs</td><td>the hold is
  *     released again once it has settled</td></tr>
  *   <tr><td>a release was answered</td><td>the engine of the given-up attempt was heard after its
- *     end</td><td>the hold is released again once that engine was heard, or has left</td></tr>
+ *     end</td><td>the hold is released again and again, within the limit each time: behind a cut
+ *     an engine goes on with what it has</td></tr>
+ *   <tr><td>a release was answered</td><td>it was the last of those that follow each other once
+ *     that engine was heard</td><td>the hold is released again: its engine may have been heard
+ *     while the attempt's own connection was silent</td></tr>
  *   <tr><td>an engine left the endpoint list</td><td>none: it is no proof</td><td>the engine need
  *     not be heard any more; the hold is released once more when it has settled</td></tr>
  * </table>
@@ -29,9 +33,7 @@
 
     /** {@return what is left of a hold after a stream of its request began} */
     static Optional<OpenHold> afterStream(OpenHold open, long now) {
-        boolean mayComeLater =
-                open.provableFrom() > now || open.awaitsEngine() || open.releasesLeft() > 0;
-        return open.hold().isState() && mayComeLater ? Optional.of(open) : Optional.empty();
+        return open.hold().isState() && open.mayOutlive(now) ? Optional.of(open) : Optional.empty();
     }
 
     /**
@@ -42,23 +44,11 @@
      * @param madeAt when the release was sent
      */
     static Optional<OpenHold> afterRelease(OpenHold open, ReleasePolicy policy, long madeAt) {
-        if (open.provableFrom() > madeAt) {
+        if (open.releaseDueAt() > madeAt) {
             return Optional.of(open);
         }
-        if (open.awaitsEngine()) {
-            return Optional.of(open.notBeforeEngineIsHeard());
-        }
-        return open.releasesLeft() == 0
-                ? Optional.empty()
-                : Optional.of(open.releasedAgainAt(madeAt + policy.limitMicros()));
-    }
-
-    /**
-     * {@return a hold after an engine left the endpoint list} What was on its way there will not
-     * arrive, but what had arrived may just have had its effect.
-     */
-    static OpenHold afterEngineRemoved(
-            OpenHold open, String engine, ReleasePolicy policy, long now) {
-        return open.awaits(engine) ? open.settledAt(now + policy.settleMicros()) : open;
+        return open.mayOutlive(madeAt)
+                ? Optional.of(open.released(policy, madeAt))
+                : Optional.empty();
     }
 }
--- a/core/src/main/java/sorrelhoist/core/reservation/OpenHold.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/OpenHold.java
@@ -3,33 +3,37 @@
 import sorrelhoist.core.reservation.Hold.Certainty;
 
 /**
- * A hold that is not known to be gone.
+ * A hold that is not known to be gone: a lease that releases alone end. While it is unsettled, each
+ * release is followed by another one within the limit, so that what comes to be held between two of
+ * them is released in time as well.
  *
  * @param hold what is held
- * @param provableFrom from when on a call that is made proves that it is gone; {@link #NEVER} while
- *     its engine has to be heard first
  * @param needed whether an attempt of the request will take it
- * @param awaitsEngine whether it may come when its engine is reachable again
- * @param releasesLeft how many calls have to follow one that was done, as the hold may come late
+ * @param releaseDueAt when the next release is due; an earlier one proves nothing of it
+ * @param awaitsEngine whether its engine has to be heard before it is settled
+ * @param releasesLeft how many releases have to follow the next one, as it may come late
+ * @param released whether a release was answered that was made when it was due
  */
 record OpenHold(
-        Hold hold, long provableFrom, boolean needed, boolean awaitsEngine, int releasesLeft) {
-    /** In place of a time: not until something else happens. */
-    static final long NEVER = Long.MAX_VALUE;
-
+        Hold hold,
+        boolean needed,
+        long releaseDueAt,
+        boolean awaitsEngine,
+        int releasesLeft,
+        boolean released) {
     /** {@return a hold that was opened now} */
     static OpenHold opened(Hold hold, ReleasePolicy policy, long now) {
         boolean confirmed = hold.certainty() == Certainty.CONFIRMED;
         boolean mayComeLate =
                 hold.certainty() == Certainty.GIVEN_UP || hold.certainty() == Certainty.UNDELIVERED;
-        long provableFrom = confirmed ? now : now + policy.settleMicros();
-        return new OpenHold(hold, provableFrom, confirmed, mayComeLate, 0);
+        long releaseDueAt = confirmed ? now : now + policy.settleMicros();
+        return new OpenHold(hold, confirmed, releaseDueAt, mayComeLate, 0, false);
     }
 
     /** {@return the same where no attempt will take prefill states any more} */
     OpenHold withoutPrefillStateNeeded() {
         boolean stillNeeded = needed && !hold.isState();
-        return new OpenHold(hold, provableFrom, stillNeeded, awaitsEngine, releasesLeft);
+        return new OpenHold(hold, stillNeeded, releaseDueAt, awaitsEngine, releasesLeft, released);
     }
 
     /** {@return whether its engine was heard again, so that it may have come by now} */
@@ -37,36 +41,44 @@
         return hold.certainty() == Certainty.UNDELIVERED && !awaitsEngine;
     }
 
-    /** {@return whether it may come when its engine is reachable again} */
+    /** {@return whether it is not settled before an engine was heard} */
     boolean awaits(String engine) {
         return awaitsEngine && hold.engine().equals(engine);
     }
 
+    /** {@return whether it may be there after a release that was made at a time} */
+    boolean mayOutlive(long releaseMadeAt) {
+        return releaseDueAt > releaseMadeAt || awaitsEngine || releasesLeft > 0;
+    }
+
     /** {@return the same after an engine was heard} */
     OpenHold engineHeard(String engine, ReleasePolicy policy, long now) {
-        if (!awaits(engine)) {
-            return this;
-        }
-        if (hold.certainty() == Certainty.GIVEN_UP && provableFrom != NEVER) {
-            return settledAt(provableFrom);
-        }
-        int releases =
-                hold.certainty() == Certainty.UNDELIVERED ? policy.lateArrivalReleases() - 1 : 0;
-        return new OpenHold(hold, now + policy.settleMicros(), needed, false, releases);
+        return awaits(engine)
+                ? settledAt(now + policy.settleMicros(), policy.releasesOnceHeard())
+                : this;
     }
 
-    /** {@return the same where nothing can be proven until its engine was heard} */
-    OpenHold notBeforeEngineIsHeard() {
-        return new OpenHold(hold, NEVER, needed, true, 0);
+    /** {@return the same where its engine will not be heard any more} */
+    OpenHold engineRemoved(String engine, ReleasePolicy policy, long now) {
+        return awaits(engine) ? settledAt(now + policy.settleMicros(), 1) : this;
     }
 
-    /** {@return the same where one release was done of those that have to follow each other} */
-    OpenHold releasedAgainAt(long time) {
-        return new OpenHold(hold, time, needed, false, releasesLeft - 1);
+    /** A release that was due before goes out all the same. */
+    private OpenHold settledAt(long time, int releases) {
+        boolean dueBefore = releaseDueAt < time;
+        return new OpenHold(
+                hold,
+                needed,
+                Math.min(releaseDueAt, time),
+                false,
+                dueBefore ? releases : releases - 1,
+                released);
     }
 
-    /** {@return the same where its engine need not be heard any more} */
-    OpenHold settledAt(long time) {
-        return new OpenHold(hold, time, needed, false, 0);
+    /** {@return the same after a release was answered that was made when it was due} */
+    OpenHold released(ReleasePolicy policy, long madeAt) {
+        int left = awaitsEngine ? releasesLeft : releasesLeft - 1;
+        long nextDueAt = madeAt + policy.renewMicros();
+        return new OpenHold(hold, needed, nextDueAt, awaitsEngine, left, true);
     }
 }
--- a/core/src/main/java/sorrelhoist/core/reservation/ReleasePolicy.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReleasePolicy.java
@@ -15,7 +15,7 @@
     private static final int CONFIRMATION_SHARE = 5;
     private static final int LATEST_START_PERCENT = 60;
     private static final int PERCENT = 100;
-    private static final int LATE_ARRIVAL_RELEASES = 4;
+    private static final int RELEASES_ONCE_HEARD = 4;
 
     /**
      * {@return how long after a request's last outcome its reservations are released where nothing
@@ -43,11 +43,12 @@
     }
 
     /**
-     * {@return how often what an undelivered prefill may leave is released once its engine is heard
-     * again} The calls follow each other at the limit, as the prefill may have to wait there.
+     * {@return how often what an attempt may leave that its engine has not answered is released
+     * once that engine was heard again} The calls follow each other at {@link #renewMicros()}: the
+     * attempt may have to wait there, and its own connection may be silent for longer than others.
      */
-    public int lateArrivalReleases() {
-        return LATE_ARRIVAL_RELEASES;
+    public int releasesOnceHeard() {
+        return RELEASES_ONCE_HEARD;
     }
 
     /**
@@ -71,6 +72,14 @@
         return limitMicros / SAFETY_MARGIN_SHARE;
     }
 
+    /**
+     * {@return after which a hold that is not settled is released again} What came to be held right
+     * after one release is let go of by the next within the limit.
+     */
+    public long renewMicros() {
+        return limitMicros - safetyMarginMicros();
+    }
+
     /**
      * {@return how long a release is tried for; what no engine has released by then is reported.
      * Where its holder alone could, it is forgotten; where any engine can, it is tried again in
--- a/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
@@ -130,7 +130,7 @@
         takeFailed = false;
         attempt = null;
         unwanted = true;
-        releases.callFrom(nextProvable(now));
+        releases.callFrom(nextRelease(now));
     }
 
     private void replaceHolds(Function<OpenHold, Optional<OpenHold>> proof) {
@@ -144,12 +144,11 @@
     }
 
     /**
-     * {@return whether it waits for an engine alone that has to be heard before a release is of
-     * use}
+     * {@return whether all that is held was released once it could be, so that what is left is to
+     * make sure of it}
      */
-    boolean awaitsEngineOnly() {
-        return releases.isEmpty()
-                && holds.stream().allMatch(open -> open.provableFrom() == OpenHold.NEVER);
+    boolean isReleased() {
+        return releases.isEmpty() && holds.stream().allMatch(OpenHold::released);
     }
 
     /** An engine is reachable again: what was on its way there arrives now, or never. */
@@ -158,7 +157,7 @@
             history.add(ReservationStep.ENGINE_HEARD, engine, now);
         }
         holds.replaceAll(open -> open.engineHeard(engine, policy, now));
-        releases.callBy(nextProvable(now));
+        releases.callBy(nextRelease(now));
     }
 
     /** An engine is gone, and what may have been held there with it. */
@@ -166,8 +165,8 @@
         if (holds.stream().anyMatch(open -> open.awaits(engine))) {
             history.add(ReservationStep.ENGINE_REMOVED, engine, now);
         }
-        holds.replaceAll(open -> HoldProof.afterEngineRemoved(open, engine, policy, now));
-        releases.callBy(nextProvable(now));
+        holds.replaceAll(open -> open.engineRemoved(engine, policy, now));
+        releases.callBy(nextRelease(now));
     }
 
     /** {@return why what is held is released now} */
@@ -183,8 +182,8 @@
         return idleSince;
     }
 
-    private long nextProvable(long otherwise) {
-        return holds.stream().mapToLong(OpenHold::provableFrom).min().orElse(otherwise);
+    private long nextRelease(long otherwise) {
+        return holds.stream().mapToLong(OpenHold::releaseDueAt).min().orElse(otherwise);
     }
 
     // Releases
@@ -251,7 +250,7 @@
         }
         history.add(ReservationStep.RELEASE_PROVEN, "", now);
         replaceHolds(open -> HoldProof.afterRelease(open, policy, answered.madeAt));
-        releases.callFrom(nextProvable(0));
+        releases.callFrom(nextRelease(0));
         releases.restart();
         return true;
     }
--- a/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
@@ -329,11 +329,11 @@
         return reservations.size();
     }
 
-    /** {@return keys of which something can be released as things are} */
+    /** {@return keys of which something was not released yet since it could be} */
     public int releasableCount() {
         return (int)
                 reservations.values().stream()
-                        .filter(reservation -> !reservation.awaitsEngineOnly())
+                        .filter(reservation -> !reservation.isReleased())
                         .filter(reservation -> !reservation.releases().hasExpired())
                         .count();
     }
--- a/core/src/test/java/sorrelhoist/core/reservation/ReservationTableTestSupport.java
+++ b/core/src/test/java/sorrelhoist/core/reservation/ReservationTableTestSupport.java
@@ -57,6 +57,31 @@
         now = time;
     }
 
+    /** Lets time pass; each release is answered at once. */
+    void passAnsweringTo(long time) {
+        while (table.nextDueMicros() <= time) {
+            int before = calls.size();
+            passTo(Math.max(now, table.nextDueMicros()));
+            if (calls.size() > before) {
+                answerLast(true);
+            }
+        }
+        now = time;
+    }
+
+    /** {@return the longest time without a release from one time to another, in microseconds} */
+    long longestPause(long from, long to) {
+        long longest = 0;
+        long last = from;
+        for (long calledAt : callTimes) {
+            if (calledAt > from && calledAt <= to) {
+                longest = Math.max(longest, calledAt - last);
+                last = calledAt;
+            }
+        }
+        return Math.max(longest, to - last);
+    }
+
     ReleaseCall lastCall() {
         return calls.get(calls.size() - 1);
     }
