Take an engine for running only after it has answered a call that was written later

Callers saw a state held while its decode was out at an engine that had never got it. Bytes of other connections that came 2 ms after the decode was written counted as sent after its arrival. One way of 2 ms and more makes that wrong: an engine that hangs while it streams to others has events under way, and they spoke for a decode that lay in a stopped process. Nothing asked again, and the request was not sent elsewhere.

Evidence is now caused by what was written later: the head of an answer to any call tells that the engine ran after that call was written, by a stamp taken before the write. Bytes at any time still tell which engines to send releases to.

DeliveryMonitorTest asks the same of answers that it asked of bytes, and also that an answer to an earlier call shows nothing however late it comes.

--- a/core/src/main/java/sorrelhoist/core/delivery/AttemptDelivery.java
+++ b/core/src/main/java/sorrelhoist/core/delivery/AttemptDelivery.java
@@ -16,7 +16,7 @@
     public enum Evidence {
         /** The transport cannot tell what is written, so delivery is taken for granted. */
         ASSUMED,
-        /** The engine sent bytes on another connection after it must have had the attempt. */
+        /** The engine answered a call on another connection that was written after the attempt. */
         ENGINE_RESPONSIVE,
         /** The engine answered the attempt itself. */
         ANSWERED
--- a/core/src/main/java/sorrelhoist/core/delivery/DeliveryMonitor.java
+++ b/core/src/main/java/sorrelhoist/core/delivery/DeliveryMonitor.java
@@ -11,22 +11,21 @@
 /**
  * Watches attempts whose last byte was written until something shows that their engines have them.
  *
- * <p>Evidence is what an engine must have sent after the attempt had arrived: an answer to it, or
- * bytes on any other connection. Where there is none for a while, the engine is asked for a sign of
- * life by a call that changes nothing; where that is not answered either, the attempt is reported
- * as unconfirmed. It stays watched until it ends, as its engine may have been stopped for a moment.
+ * <p>Evidence is an answer to the attempt, or to any call that was written to the engine later: the
+ * engine runs after the attempt was written. Other bytes show nothing, as nothing tells when they
+ * were sent. Where there is no evidence for a while, the engine is asked for a sign of life by a
+ * call that changes nothing; where that is not answered either, the attempt is reported as
+ * unconfirmed. It stays watched until it ends, as its engine may have been stopped for a moment.
+ *
+ * <p>The attempt's own connection may be silent though another one is not. So evidence decides
+ * whether a request is sent elsewhere, and puts the release of what is held for it off by a bounded
+ * time alone.
  *
  * <p>One thread at a time.
  *
  * @param <A> names an attempt to the listener
  */
 public final class DeliveryMonitor<A> {
-    /**
-     * From this router to an engine and back: bytes that arrived earlier after a write than this
-     * may have been sent before the attempt arrived.
-     */
-    static final long ROUND_TRIP_MICROS = 2000;
-
     /**
      * A check that is so late was held up together with the router: what engines have sent
      * meanwhile still lies in its sockets, so the check is put off once until they were read.
@@ -182,29 +181,28 @@
     }
 
     /**
-     * Bytes came from an engine.
+     * An engine began to answer a call.
      *
-     * @param engine whose
-     * @param arrivedAt when they had arrived at the earliest
+     * @param engine which
+     * @param writtenAt when the call was written to it
      * @return whether that is the sign of life that is waited for whatever becomes of attempts
      */
-    public boolean engineHeard(String engine, long arrivedAt) {
+    public boolean callAnswered(String engine, long writtenAt) {
         EngineWatch<A> watch = engines.get(engine);
         if (watch == null) {
             return false;
         }
-        long sentAfter = arrivedAt - ROUND_TRIP_MICROS;
-        confirmAttempts(watch, sentAfter);
-        boolean awaited = watch.heard(sentAfter);
+        confirmAttempts(watch, writtenAt);
+        boolean awaited = watch.heard(writtenAt);
         removeIfUnneeded(engine, watch);
         return awaited;
     }
 
-    private void confirmAttempts(EngineWatch<A> watch, long sentAfter) {
+    private void confirmAttempts(EngineWatch<A> watch, long ranAfter) {
         Iterator<Map.Entry<A, AttemptDelivery>> entries = watch.attempts.entrySet().iterator();
         while (entries.hasNext()) {
             Map.Entry<A, AttemptDelivery> entry = entries.next();
-            if (sentAfter > entry.getValue().writtenAt()) {
+            if (ranAfter > entry.getValue().writtenAt()) {
                 entry.getValue().delivered(Evidence.ENGINE_RESPONSIVE);
                 entries.remove();
                 listener.delivered(entry.getKey());
--- a/core/src/main/java/sorrelhoist/core/delivery/EngineWatch.java
+++ b/core/src/main/java/sorrelhoist/core/delivery/EngineWatch.java
@@ -87,16 +87,16 @@
     }
 
     /**
-     * Bytes came from it. {@return whether that was the awaited sign of life}
+     * It gave a sign of life. {@return whether that was the awaited one}
      *
-     * @param sentAfter it sent them after this time
+     * @param ranAfter it ran after this time
      */
-    boolean heard(long sentAfter) {
-        if (sentAfter > questionAskedAt) {
+    boolean heard(long ranAfter) {
+        if (ranAfter >= questionAskedAt) {
             questionsUnanswered = 0;
             unansweredSince = NEVER;
         }
-        boolean awaited = sentAfter > awaitedSince;
+        boolean awaited = ranAfter >= awaitedSince;
         if (awaited) {
             awaitNoLonger();
         }
--- a/core/src/main/java/sorrelhoist/core/request/AttemptDeliveries.java
+++ b/core/src/main/java/sorrelhoist/core/request/AttemptDeliveries.java
@@ -121,9 +121,9 @@
         return !attempt.streaming && reservations.mayWaitFor(attempt);
     }
 
-    /** Bytes came from an engine; they had arrived at the earliest at a time. */
-    void bytesReceived(String engine, long arrivedAt) {
-        if (monitor.engineHeard(engine, arrivedAt)) {
+    /** An engine began to answer a call that was written to it at a time. */
+    void callAnswered(String engine, long writtenAt) {
+        if (monitor.callAnswered(engine, writtenAt)) {
             reservations.awaitedEngineHeard(engine);
         }
     }
--- a/core/src/main/java/sorrelhoist/core/request/Router.java
+++ b/core/src/main/java/sorrelhoist/core/request/Router.java
@@ -271,11 +271,22 @@
         reservations.releaseCompleted(releaseId, released);
     }
 
-    /** Bytes came from an engine; they had arrived at the earliest at {@code arrivedAt}. */
-    public void bytesReceived(long time, String engine, long arrivedAt) {
+    /** Bytes came from an engine, sent at whatever time. */
+    public void bytesReceived(long time, String engine) {
         clock.advanceTo(time);
         reservations.bytesReceived(engine);
-        deliveries.bytesReceived(engine, arrivedAt);
+    }
+
+    /**
+     * An engine began to answer a call of any kind.
+     *
+     * @param time now
+     * @param engine which
+     * @param writtenAt a time at which the call was not written yet
+     */
+    public void callAnswered(long time, String engine, long writtenAt) {
+        clock.advanceTo(time);
+        deliveries.callAnswered(engine, writtenAt);
     }
 
     /** The call that asked an engine for a sign of life ended; or none could be made. */
--- a/core/src/test/java/sorrelhoist/core/delivery/DeliveryMonitorTest.java
+++ b/core/src/test/java/sorrelhoist/core/delivery/DeliveryMonitorTest.java
@@ -15,7 +15,7 @@
     private static final long LIMIT = 500_000;
     private static final DeliveryPolicy POLICY = new DeliveryPolicy(LIMIT);
     private static final long STEP = 1000;
-    private static final long NOT_ARRIVED_YET = DeliveryMonitor.ROUND_TRIP_MICROS;
+    private static final long BEFORE = -STEP;
 
     private final List<String> asked = new ArrayList<>();
     private final List<String> delivered = new ArrayList<>();
@@ -70,9 +70,9 @@
     }
 
     @Test
-    void bytesThatWereSentAfterTheAttemptHadArrivedShowIt() {
+    void theAnswerToACallThatWasWrittenLaterShowsIt() {
         written();
-        monitor.engineHeard("e", now + NOT_ARRIVED_YET + 1);
+        monitor.callAnswered("e", now + 1);
         assertEquals(Evidence.ENGINE_RESPONSIVE, delivery.evidence());
         assertEquals(List.of("a"), delivered);
         passTo(2 * LIMIT);
@@ -81,19 +81,21 @@
     }
 
     @Test
-    void bytesThatMayHaveBeenSentBeforeTheAttemptArrivedShowNothing() {
+    void theAnswerToACallThatWasWrittenBeforeShowsNothingHoweverLateItComes() {
         written();
+        long writtenAt = now;
         passTo(10 * STEP);
-        monitor.engineHeard("e", NOT_ARRIVED_YET);
+        monitor.callAnswered("e", BEFORE);
+        monitor.callAnswered("e", writtenAt);
         assertEquals(State.WRITTEN, delivery.state());
         passTo(LIMIT);
         assertEquals(List.of("a"), unconfirmed);
     }
 
     @Test
-    void bytesOfAnotherEngineShowNothing() {
+    void theAnswerOfAnotherEngineShowsNothing() {
         written();
-        monitor.engineHeard("f", now + LIMIT);
+        monitor.callAnswered("f", now + LIMIT);
         assertEquals(State.WRITTEN, delivery.state());
     }
 
@@ -115,7 +117,7 @@
     void theAnswerToAQuestionShowsIt() {
         written();
         passTo(POLICY.askAfterMicros() + STEP);
-        monitor.engineHeard("e", now);
+        monitor.callAnswered("e", now);
         monitor.questionEnded("e", now);
         passTo(2 * LIMIT);
         assertEquals(List.of("a"), delivered);
@@ -123,10 +125,10 @@
     }
 
     @Test
-    void whatAnEngineSentBeforeItWasAskedIsNoAnswer() {
+    void theAnswerToAnotherCallThatWasWrittenBeforeTheQuestionIsNoAnswer() {
         written();
         passTo(POLICY.askAfterMicros());
-        monitor.engineHeard("e", NOT_ARRIVED_YET);
+        monitor.callAnswered("e", BEFORE);
         passTo(POLICY.confirmAfterMicros());
         assertEquals(List.of("a"), unconfirmed);
     }
@@ -151,7 +153,7 @@
         now = POLICY.confirmAfterMicros() + 150_000;
         monitor.advance(now);
         assertEquals(List.of(), unconfirmed);
-        monitor.engineHeard("e", POLICY.confirmAfterMicros());
+        monitor.callAnswered("e", POLICY.askAfterMicros());
         passTo(2 * LIMIT);
         assertEquals(List.of(), unconfirmed);
         assertEquals(List.of("a"), delivered);
@@ -182,7 +184,7 @@
     void anAttemptThatWasReportedMayStillTurnOutToHaveArrived() {
         written();
         passTo(LIMIT);
-        monitor.engineHeard("e", now);
+        monitor.callAnswered("e", now);
         assertEquals(List.of("a"), unconfirmed);
         assertEquals(List.of("a"), delivered);
     }
@@ -218,7 +220,7 @@
     void anEngineThatHadAGivenUpAttemptIsAskedOnlyWhereItDoesNotSpeakByItself() {
         monitor.awaitEngine("e", delivery, now);
         passTo(POLICY.askAfterMicros() - STEP);
-        assertTrue(monitor.engineHeard("e", now));
+        assertTrue(monitor.callAnswered("e", now));
         passTo(10 * LIMIT);
         assertEquals(List.of(), asked);
         monitor.awaitEngine("e", delivery, now);
@@ -242,9 +244,9 @@
         monitor.questionEnded("e", now);
         passTo(LIMIT);
         assertEquals(2, asked.size());
-        assertFalse(monitor.engineHeard("e", NOT_ARRIVED_YET), "sent before it was awaited");
-        assertTrue(monitor.engineHeard("e", now));
-        assertFalse(monitor.engineHeard("e", now + LIMIT), "once");
+        assertFalse(monitor.callAnswered("e", BEFORE), "written before it was awaited");
+        assertTrue(monitor.callAnswered("e", now));
+        assertFalse(monitor.callAnswered("e", now + LIMIT), "once");
         monitor.questionEnded("e", now);
         passTo(10 * LIMIT);
         assertEquals(2, asked.size());
--- a/core/src/test/java/sorrelhoist/core/request/PlatformAttemptTestSupport.java
+++ b/core/src/test/java/sorrelhoist/core/request/PlatformAttemptTestSupport.java
@@ -58,11 +58,12 @@
 
     /** Bytes of a running stream came from an engine; nothing that was sent now has caused them. */
     void streamEventReceived(String engine) {
-        router.bytesReceived(now, engine, now);
+        router.bytesReceived(now, engine);
     }
 
     /** An engine began to answer a call whose last byte was written at a time, in microseconds. */
     void questionAnswered(String engine, long writtenAt) {
-        router.bytesReceived(now, engine, now);
+        router.bytesReceived(now, engine);
+        router.callAnswered(now, engine, writtenAt);
     }
 }
--- a/core/src/test/java/sorrelhoist/core/request/ReservationWorld.java
+++ b/core/src/test/java/sorrelhoist/core/request/ReservationWorld.java
@@ -346,12 +346,14 @@
             world.schedule(now + SOON, () -> router.reachabilityChecked(now, engine, true));
             return;
         }
+        long askedAt = now;
         long backAt = unreachable.getOrDefault(engine, now);
         world.schedule(
                 Math.max(now, backAt) + SOON,
                 () -> {
                     if (!gone.contains(engine)) {
-                        router.bytesReceived(now, engine, now);
+                        router.bytesReceived(now, engine);
+                        router.callAnswered(now, engine, askedAt);
                     }
                     router.reachabilityChecked(now, engine, true);
                 });
--- a/core/src/test/java/sorrelhoist/core/request/UndeliveredAttemptTest.java
+++ b/core/src/test/java/sorrelhoist/core/request/UndeliveredAttemptTest.java
@@ -56,7 +56,7 @@
     void aDecodeOfAnEngineThatSpeaksKeepsItsState() {
         Command.StartDecode decode = decodeWritten(Fleet.SAFE);
         passTo(PREFILLED + Fleet.RELEASE / 10);
-        router.bytesReceived(now, decode.engine(), now);
+        questionAnswered(decode.engine(), now);
         passTo(PREFILLED + 2 * Fleet.RELEASE);
         assertEquals(List.of(), all(Command.ReleaseReservation.class));
         assertEquals(1, all(Command.StartDecode.class).size());
@@ -78,7 +78,7 @@
         passTo(2 * Fleet.SECOND);
         answerReleases();
         int before = all(Command.ReleaseReservation.class).size();
-        router.bytesReceived(now, first.engine(), now);
+        questionAnswered(first.engine(), now);
         passTo(now + Fleet.RELEASE);
         assertTrue(all(Command.ReleaseReservation.class).size() > before, "not released again");
         for (int i = 0; i < 5; i++) {
--- a/core/src/test/java/sorrelhoist/core/request/UnprovenReleaseTest.java
+++ b/core/src/test/java/sorrelhoist/core/request/UnprovenReleaseTest.java
@@ -121,7 +121,7 @@
     void aStateIsReleasedOnceWithinItsLimitThoughBytesOnAnotherConnectionSpeakForItsDecode() {
         Command.StartDecode decode = decodeWritten(Fleet.SAFE);
         passTo(PREFILLED + Fleet.RELEASE / 20);
-        router.bytesReceived(now, decode.engine(), now);
+        questionAnswered(decode.engine(), now);
         passAnsweringTo(PREFILLED + Fleet.RELEASE);
         assertEquals(1, releases());
         assertEquals(1, all(Command.StartDecode.class).size(), "it may be there");
