Count an answer that proves nothing against the expiry of a release all the same

Operators saw release-expired although engines answered all the time: where a decode was written while releases were on their way, their answers prove nothing, and the time to the expiry ran on unless all of them were answered. A lost one was enough for a hold to be reported and then tried every four limits alone. The expiry is for engines that do not answer, so any answer begins it anew.

Failed before: two tests of HoldOfUnansweredDecodeTest (aHoldDoesNotExpire...: ReportExpiredRelease after 4 calls); they pass.

--- a/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
@@ -257,9 +257,11 @@
 
     /** The decode may never have arrived, so it does not put the next release off without end. */
     private void answerProvesNothing(long now) {
-        if (releases.isEmpty()) {
-            releases.restart();
-            releases.callFrom(isDecodeOut() ? now + policy.settleMicros() : now);
+        releases.restart();
+        if (isDecodeOut()) {
+            releases.callFrom(now + policy.settleMicros());
+        } else if (releases.isEmpty()) {
+            releases.callFrom(now);
         }
     }
 
