Release beside a decode that only other connections speak for, and read its prompt again

Callers saw a state held for as long as its decode was out, though the decode had never arrived (its own connection fell silent as it was written) or was over (its engine vanished with it, or dropped it without a word). Once another connection had spoken for the decode, nothing was released before its end. Only an answer on its own connection is proof, so what it is to take is now released after four fifths of the limit and at that interval until it is answered or has ended. Where the decode waits at its engine that changes nothing for it.

So a decode that fails after its state was released beside it sends its request back to a prefill engine, which has the text cached (note 2 of a failed attempt).

A transport that reports what it writes is not taken for having delivered before it has said anything.

--- a/core/src/main/java/sorrelhoist/core/request/AttemptFailures.java
+++ b/core/src/main/java/sorrelhoist/core/request/AttemptFailures.java
@@ -7,6 +7,7 @@
 /** Attempts that end without success, by themselves or because the router cancels them. */
 final class AttemptFailures {
     private static final long NO_STATE_TO_FETCH = 1;
+    private static final long STATE_RELEASED = 2;
 
     private final AttemptTracker attempts;
     private final RequestReservations reservations;
@@ -48,14 +49,19 @@
         }
         RequestState request = attempt.request;
         boolean stateMissing = outcome == Outcome.FULL && note == NO_STATE_TO_FETCH;
+        long outcomeNote = note;
         if (attempt.prefill) {
             request.apply(RequestPhase.Transition.PREFILL_FAILED);
         } else if (stateMissing || request.prefillState == null) {
             reservations.prefillStateNotFetched(request);
             request.apply(RequestPhase.Transition.PREFILL_STATE_LOST);
+        } else if (reservations.isPrefillStateReleased(request)) {
+            reservations.dropPrefillState(request);
+            request.apply(RequestPhase.Transition.PREFILL_STATE_LOST);
+            outcomeNote = STATE_RELEASED;
         } else {
             request.apply(RequestPhase.Transition.DECODE_FAILED);
         }
-        attempts.ended(attempt, outcome, request.finished, note, load);
+        attempts.ended(attempt, outcome, request.finished, outcomeNote, load);
     }
 }
--- a/core/src/main/java/sorrelhoist/core/request/RequestReservations.java
+++ b/core/src/main/java/sorrelhoist/core/request/RequestReservations.java
@@ -150,8 +150,10 @@
         AttemptPurpose purpose = purposeOf(attempt);
         for (ReservationKey key : keysOf(request)) {
             table.attemptSent(key, purpose, attempt.engine, clock.now());
-            // Unless its transport says that it has to be written first.
-            table.attemptDelivered(key, clock.now());
+            if (!oneKeyPerRequest) {
+                // Holders are called by a transport that cannot tell what is written.
+                table.attemptDelivered(key, clock.now());
+            }
         }
     }
 
@@ -240,7 +242,14 @@
         dropPrefillState(request);
     }
 
-    private void dropPrefillState(RequestState request) {
+    /** {@return whether the prefill state was released beside a decode that did not take it} */
+    boolean isPrefillStateReleased(RequestState request) {
+        return oneKeyPerRequest
+                && table.wasReleasedBesideDecode(ReservationKey.ofRequest(request.name));
+    }
+
+    /** No attempt of a request uses its prefill state any more; the prompt is read again. */
+    void dropPrefillState(RequestState request) {
         if (oneKeyPerRequest) {
             table.prefillStatesUnneeded(ReservationKey.ofRequest(request.name));
         } else if (request.prefillStateKey != null) {
--- a/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
@@ -25,6 +25,9 @@
     /** Whether an attempt that was to take what is held has ended without a stream. */
     private boolean takeFailed;
 
+    /** Whether a release may have let go of what a decode that is out has not taken yet. */
+    private boolean releasedBesideDecode;
+
     /** Whether it was reported that it has waited for too long. */
     private boolean overdueReported;
 
@@ -40,6 +43,9 @@
     void opened(Hold hold, long now) {
         history.add(ReservationStep.HELD, hold.engine(), now);
         holds.add(OpenHold.opened(hold, policy, now));
+        if (hold.isState() && hold.certainty() == Certainty.CONFIRMED) {
+            releasedBesideDecode = false;
+        }
         releases.callBy(now);
     }
 
@@ -70,6 +76,7 @@
     /** Releases that are on their way may arrive while a decode waits for what they would end. */
     private void noteDecodeOut() {
         if (isDecodeOut()) {
+            releasedBesideDecode |= !releases.isEmpty();
             releases.decodeIsOut();
         }
     }
@@ -224,6 +231,7 @@
     /** A call was made. */
     void called(long call, String engine, long now) {
         history.add(ReservationStep.RELEASE_SENT, engine, now);
+        releasedBesideDecode |= isDecodeOut();
         releases.made(call, engine, isDecodeOut(), now);
     }
 
@@ -259,12 +267,20 @@
     private void answerProvesNothing(long now) {
         releases.restart();
         if (isDecodeOut()) {
-            releases.callFrom(now + policy.settleMicros());
+            releases.callFrom(now + policy.renewMicros());
         } else if (releases.isEmpty()) {
             releases.callFrom(now);
         }
     }
 
+    /**
+     * {@return whether a release went out beside a decode that had not taken the prefill state: no
+     * other attempt can count on it}
+     */
+    boolean wasReleasedBesideDecode() {
+        return releasedBesideDecode;
+    }
+
     /** {@return the calls that are not waited for any more} */
     List<Long> abandonCalls(long now) {
         List<Long> abandoned = releases.abandon();
--- a/core/src/main/java/sorrelhoist/core/reservation/ReservationAttempt.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationAttempt.java
@@ -68,6 +68,8 @@
 
     /**
      * {@return from when on what it may take is released all the same; Long.MAX_VALUE for never}
+     * That its engine has it is inferred from other connections: its own may be silent, and its
+     * engine may be gone by now.
      *
      * @param idleSince since when that waits
      */
@@ -78,7 +80,7 @@
             case CONNECTING -> ordinary;
             case WRITTEN ->
                     Math.max(ordinary, Math.min(writtenAt + policy.confirmationMicros(), latest));
-            case DELIVERED -> Long.MAX_VALUE;
+            case DELIVERED -> isDecodeOut() ? idleSince + policy.renewMicros() : Long.MAX_VALUE;
         };
     }
 }
--- a/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
@@ -14,10 +14,12 @@
  *
  * <p>A hold is opened by each outcome that can leave something, also by prefills that were lost or
  * cancelled, and by decodes that may still stand in a queue. It ends by proof alone: {@link
- * HoldProof} says what is one. While an attempt that takes it is with its engine, nothing is sent.
- * In every other case a release is under way after half the limit at the latest, counted from the
- * request's last outcome; at once where the request is over. Time runs on while an attempt's
- * connection does not come up, and while nothing shows that it arrived.
+ * HoldProof} says what is one. Until then a release goes out within the limit, counted from the
+ * request's last outcome, whatever is inferred of the attempt that takes the hold: at once where
+ * the request is over, after half the limit where no attempt is out or its connection does not come
+ * up, after three fifths at the latest while nothing shows that it arrived, and after four fifths,
+ * and again at that interval, where other connections show it. Only an answer on the attempt's own
+ * connection puts it off for longer.
  *
  * <p>One thread at a time.
  */
@@ -122,6 +124,14 @@
         return reservations.containsKey(key);
     }
 
+    /**
+     * {@return whether what a key holds was released while a decode was out that had not taken it}
+     */
+    public boolean wasReleasedBesideDecode(ReservationKey key) {
+        Reservation reservation = reservations.get(key);
+        return reservation != null && reservation.wasReleasedBesideDecode();
+    }
+
     /** {@return since when what a key holds waits; {@code otherwise} where it holds nothing} */
     public long idleSince(ReservationKey key, long otherwise) {
         Reservation reservation = reservations.get(key);
--- a/decide/src/main/java/sorrelhoist/routing/OutcomeRecorder.java
+++ b/decide/src/main/java/sorrelhoist/routing/OutcomeRecorder.java
@@ -9,6 +9,9 @@
     /** Note of a rejection that concerns this request alone: its state was not there to fetch. */
     static final long NO_STATE_TO_FETCH = 1;
 
+    /** Note of a failure: the state was released while the attempt was in flight. */
+    static final long STATE_RELEASED = 2;
+
     /** How long an endpoint is left alone by a class and tenant that it rejected, at least. */
     private static final long MIN_BACKOFF_MICROS = 200_000;
 
--- a/decide/src/main/java/sorrelhoist/routing/RequestLifecycle.java
+++ b/decide/src/main/java/sorrelhoist/routing/RequestLifecycle.java
@@ -132,7 +132,8 @@
         if (outcome == Outcome.FULL && event.note() == OutcomeRecorder.NO_STATE_TO_FETCH) {
             request.prefilledAt = null;
             request.failedEndpoints.remove(attempt.endpoint);
-        } else if (outcome == Outcome.ERROR
+        } else if (event.note() == OutcomeRecorder.STATE_RELEASED
+                || outcome == Outcome.ERROR
                 || outcome == Outcome.RESET
                 || outcome == Outcome.CONNECT_FAILED && waitsTooLong
                 || attempt.wasNeverConfirmed(outcome) && isNearlyOver(request)) {
--- a/decide/src/main/java/sorrelhoist/routing/RoutingEvents.java
+++ b/decide/src/main/java/sorrelhoist/routing/RoutingEvents.java
@@ -143,7 +143,8 @@
      * @param outcome how it ended
      * @param tookMicros time since the send
      * @param ended true once the request is concluded
-     * @param note kept tokens after READ and DONE; 1 after FULL where no state was there to fetch
+     * @param note kept tokens after READ and DONE; 1 after FULL where no state was there to fetch;
+     *     2 after any failure where the state was released while the attempt was in flight
      * @param report the server's load report, or {@link ServerLoad#NONE}
      */
     public record AttemptEnded(
--- a/decide/src/test/java/sorrelhoist/routing/RequestLifecycleTest.java
+++ b/decide/src/test/java/sorrelhoist/routing/RequestLifecycleTest.java
@@ -51,6 +51,17 @@
         assertTrue(anew.server().startsWith("r"), "no state was there to fetch");
     }
 
+    @Test
+    void aStateThatWasReleasedBesideItsDecodeIsPrefilledAnewWhateverTheDecodeEndedIn() {
+        long id = 0;
+        for (Outcome outcome : List.of(Outcome.FULL, Outcome.TIMED_OUT, Outcome.CANCELLED)) {
+            id++;
+            Send decode = Fixtures.send(end(Fixtures.send(arrive(id)), 0, Outcome.READ, 0));
+            Send anew = Fixtures.send(end(decode, 1, outcome, OutcomeRecorder.STATE_RELEASED));
+            assertTrue(anew.server().startsWith("r"), outcome + " sent it to a decoder");
+        }
+    }
+
     @Test
     void aRequestWhoseClientLeftIsCancelledAndForgotten() {
         Send prefill = Fixtures.send(arrive(1));
