Play a router over a faulty network in virtual time, judged by what is true at workers

The models of holds so far took inferences of the router for true: ReservationWorld knows no network, ReservationModel lets an engine that is heard have noticed all that was sent to it before.

FaultyPlays prints the seeds that broke by cause, and what the router sent.

--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/request/FaultyPlays.java
@@ -0,0 +1,123 @@
+package sorrelhoist.core.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import sorrelhoist.core.request.FaultSchedule.Fault;
+import sorrelhoist.core.request.FaultyFleet.Cause;
+import sorrelhoist.core.request.FaultyFleet.LateState;
+
+/**
+ * Plays of a {@link FaultyFleet} with one seed after the other, and the states that were late in
+ * them. Other seeds, and what happened in one that broke: {@code -Dnetwork.firstSeed=7
+ * -Dnetwork.seeds=1 -Dnetwork.traces=9}.
+ */
+final class FaultyPlays {
+    /** Plays in one test. */
+    static final int SEEDS = Integer.getInteger("network.seeds", 2000);
+
+    private static final long FIRST_SEED = Long.getLong("network.firstSeed", 1);
+    private static final int PRINTED_TRACES = Integer.getInteger("network.traces", 0);
+    private static final int PRINTED_SEEDS = 20;
+    private static final long MICROS_PER_MILLI = 1000;
+
+    /** Of the seeds that broke. */
+    private final Map<Long, List<LateState>> lateBySeed = new TreeMap<>();
+
+    private int requests;
+    private int served;
+    private int prefills;
+    private int decodesWithoutState;
+    private int releases;
+
+    private FaultyPlays() {}
+
+    /** Plays so many seeds, and prints which broke by what. */
+    static FaultyPlays play(Set<Fault> faults, int seeds) {
+        FaultyPlays plays = new FaultyPlays();
+        for (long seed = FIRST_SEED; seed < FIRST_SEED + seeds; seed++) {
+            FaultyFleet fleet = new FaultyFleet(seed, faults);
+            List<LateState> late = fleet.play();
+            fleet.requests().forEach(plays::count);
+            if (!late.isEmpty()) {
+                plays.lateBySeed.put(seed, late);
+            }
+        }
+        System.out.println(faults + ": " + plays.broken().size() + " of " + seeds + " seeds broke");
+        plays.printCosts();
+        plays.printCauses();
+        plays.printTraces();
+        return plays;
+    }
+
+    /** {@return the seeds in which a state was late} */
+    List<Long> broken() {
+        return List.copyOf(lateBySeed.keySet());
+    }
+
+    /** {@return those among them in which a state was late for a cause} */
+    List<Long> brokenBy(Cause cause) {
+        return lateBySeed.entrySet().stream()
+                .filter(entry -> entry.getValue().stream().anyMatch(late -> late.cause == cause))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    private void count(RequestTruth request) {
+        requests++;
+        served += request.served ? 1 : 0;
+        prefills += (int) request.attempts.stream().filter(a -> a.prefill && a.arrived).count();
+        decodesWithoutState += request.decodesWithoutState;
+        releases += request.releases;
+    }
+
+    /** What a change of releases may cost, beside what it mends. */
+    private void printCosts() {
+        System.out.println(
+                requests
+                        + " requests, "
+                        + served
+                        + " served, "
+                        + prefills
+                        + " prefills, "
+                        + decodesWithoutState
+                        + " decodes without a state to fetch, "
+                        + releases
+                        + " releases");
+    }
+
+    private void printCauses() {
+        Map<String, List<Long>> seedsByCause = new TreeMap<>();
+        lateBySeed.forEach(
+                (seed, states) ->
+                        states.forEach(
+                                late ->
+                                        seedsByCause
+                                                .computeIfAbsent(
+                                                        describe(late), any -> new ArrayList<>())
+                                                .add(seed)));
+        seedsByCause.forEach(
+                (cause, seeds) -> {
+                    List<Long> first = seeds.stream().limit(PRINTED_SEEDS).toList();
+                    System.out.println(seeds.size() + " " + cause + ", seeds " + first);
+                });
+    }
+
+    private static String describe(LateState late) {
+        return late.cause + " (" + late.detail + ")";
+    }
+
+    private void printTraces() {
+        lateBySeed.values().stream()
+                .flatMap(List::stream)
+                .limit(PRINTED_TRACES)
+                .forEach(
+                        late -> {
+                            long heldMillis = late.heldMicros / MICROS_PER_MILLI;
+                            System.out.println("held " + heldMillis + " ms: " + describe(late));
+                            System.out.println(late.request.trace());
+                        });
+    }
+}
