--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/request/StatesUnderFaultsTest.java
@@ -0,0 +1,60 @@
+package sorrelhoist.core.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.EnumSet;
+import java.util.List;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import sorrelhoist.core.request.FaultSchedule.Fault;
+import sorrelhoist.core.request.FaultyFleet.Cause;
+
+/**
+ * What is held at workers is taken or released in time under faults of the network and of workers,
+ * by what is true there; a test for each cause. The plays are those of one set of seeds.
+ */
+class StatesUnderFaultsTest {
+    private static FaultyPlays plays;
+
+    @BeforeAll
+    static void play() {
+        plays = FaultyPlays.play(FaultSchedule.EVENTS, FaultyPlays.SEEDS);
+    }
+
+    private static void assertNone(Cause cause, FaultyPlays played) {
+        List<Long> broken = played.brokenBy(cause);
+        assertEquals(List.of(), broken, broken.size() + " seeds broke by " + cause);
+    }
+
+    @Test
+    void noStateIsLateForADecodeThatHasNotArrived() {
+        assertNone(Cause.DECODE_NOT_ARRIVED, plays);
+    }
+
+    @Test
+    void noStateIsLateForADecodeThatIsOverWithoutItsAnswer() {
+        assertNone(Cause.DECODE_UNANSWERED, plays);
+    }
+
+    @Test
+    void noStateIsLateForTheAnswerOfItsPrefill() {
+        assertNone(Cause.PREFILL_UNANSWERED, plays);
+    }
+
+    @Test
+    void noStateIsLateThatAPrefillLeftAfterItsEnd() {
+        assertNone(Cause.PREFILL_ENDED_LATE, plays);
+    }
+
+    @Test
+    void noStateIsLateForAnyOtherCause() {
+        assertNone(Cause.OTHER, plays);
+    }
+
+    /** Workers notice that its connection was closed, and go on with it. */
+    @Test
+    void noStateIsLateThatAPrefillLeftWhichWentOnThoughItWasClosed() {
+        FaultyPlays goingOn = FaultyPlays.play(EnumSet.of(Fault.PREFILLS_GO_ON), FaultyPlays.SEEDS);
+        assertNone(Cause.PREFILL_ENDED_LATE, goingOn);
+    }
+}
