--- a/core/src/test/java/sorrelhoist/core/request/FaultyTransport.java
+++ b/core/src/test/java/sorrelhoist/core/request/FaultyTransport.java
@@ -53,10 +53,10 @@
     /** Carries out a command. */
     void take(Command command) {
         if (command instanceof Command.StartPrefill start) {
-            new AttemptCall(start, start.deadlineMicros(), true).start();
+            long deadline = start.deadlineMicros();
+            new AttemptCall(start, deadline, deadline).start();
         } else if (command instanceof Command.StartDecode start) {
-            long sendBy = Math.min(start.deadlineMicros(), start.sendByMicros());
-            new AttemptCall(start, sendBy, false).start();
+            new AttemptCall(start, start.deadlineMicros(), start.sendByMicros()).start();
         } else if (command instanceof Command.CancelAttempt cancellation) {
             cancel(cancellation.attempt());
         } else if (command instanceof Command.ReleaseReservation release) {
@@ -247,12 +247,13 @@
         private long writtenAt;
         private boolean answerBegan;
 
-        AttemptCall(Command.StartAttempt command, long sendBy, boolean prefill) {
+        AttemptCall(Command.StartAttempt command, long deadline, long sendBy) {
             this.command = command;
-            this.sendBy = sendBy;
+            this.sendBy = Math.min(deadline, sendBy);
             this.request = fleet.request(command.requestName());
             int number = command.attempt().number();
-            this.truth = request.sent(number, command.engine(), prefill, sendBy, now());
+            boolean prefill = command instanceof Command.StartPrefill;
+            this.truth = request.sent(number, command.engine(), prefill, deadline, now());
         }
 
         void start() {
