Show by failing tests that answers to other calls say nothing of a decode or a prefill

Found by traces of the faulty network. Nothing orders two connections: a call that is written after a decode may arrive and be answered before it (: the worker hung in between).

HoldOfUnansweredDecodeTest.anAnswerToACallThatOvertookADecodeDoesNotKeepItsStateFromBeingReleased fails: nothing released within the limit. HoldOfUnansweredPrefillTest, both fail: 'no release for 1500 ms' while the answer does not come, 'no release for 1250 ms' after it was given up.

--- a/core/src/test/java/sorrelhoist/core/request/HoldOfUnansweredDecodeTest.java
+++ b/core/src/test/java/sorrelhoist/core/request/HoldOfUnansweredDecodeTest.java
@@ -46,6 +46,18 @@
         assertEquals(2, decodes, "bytes that came 4 ms after the decode spoke for it");
     }
 
+    /** Nothing orders two connections: the call may have overtaken the decode. */
+    @Test
+    void anAnswerToACallThatOvertookADecodeDoesNotKeepItsStateFromBeingReleased() {
+        Command.StartDecode decode = decodeWritten(Fleet.UNSAFE);
+        long writtenAt = now;
+        passAnsweringTo(now + ONE_WAY_MICROS - STEP);
+        questionAnswered(decode.engine(), writtenAt);
+        silentEngines.add(decode.engine());
+        passAnsweringTo(PREFILLED + Fleet.RELEASE);
+        assertTrue(releases() > 0, "the answer to another call spoke for the decode");
+    }
+
     /** Its engine answers questions on other connections; it may not be repeated elsewhere. */
     @Test
     void aStateWhoseDecodeIsUnansweredIsReleasedWithinEveryLimitUntilTheDecodeHasEnded() {
--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/request/HoldOfUnansweredPrefillTest.java
@@ -0,0 +1,41 @@
+package sorrelhoist.core.request;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/**
+ * A prefill arrives, and its own connection falls silent, while its engine answers on others. When
+ * it ends, its state is held and its answer does not come: a long prefill looks the same.
+ */
+class HoldOfUnansweredPrefillTest extends AnsweringEnginesTestSupport {
+    private static final long MICROS_PER_MILLI = 1000;
+    private static final long LIMIT_MILLIS = Fleet.RELEASE / MICROS_PER_MILLI;
+    private static final long RUNNING_MICROS = 3 * Fleet.RELEASE;
+
+    private void prefillWritten() {
+        client = router.requestArrived(now, Fleet.call(Fleet.UNSAFE, 10, BUDGET));
+        written(all(Command.StartPrefill.class).get(0));
+    }
+
+    /** By the strict rule: the attempt is over at its engine, so the state's time runs. */
+    @Test
+    void aPrefillWhoseAnswerDoesNotComeIsReleasedWithinEveryLimit() {
+        prefillWritten();
+        passAnsweringTo(RUNNING_MICROS);
+        long pause = longestPauseMillis(0, now);
+        assertTrue(pause <= LIMIT_MILLIS, "no release for " + pause + " ms");
+    }
+
+    /** Its close stays in the silent connection, and the engine goes on. */
+    @Test
+    void aPrefillGivenUpOnASilentConnectionIsReleasedThoughItsEngineIsHeard() {
+        prefillWritten();
+        passAnsweringTo(Fleet.RELEASE);
+        router.clientDisconnected(now, client);
+        long leftAt = now;
+        passAnsweringTo(leftAt + RUNNING_MICROS);
+        long pause = longestPauseMillis(leftAt, now);
+        assertTrue(pause <= LIMIT_MILLIS, "no release for " + pause + " ms");
+    }
+}
