Tell the faulty network's router of answered calls

The model spoke of bytes alone; evidence is the head of an answer now, with the time at which its call was written.

--- a/core/src/test/java/sorrelhoist/core/request/FaultyTransport.java
+++ b/core/src/test/java/sorrelhoist/core/request/FaultyTransport.java
@@ -91,13 +91,14 @@
     /** A worker began to answer a call whose last byte was written at a time. */
     private void answerBegan(Connection connection, long writtenAt) {
         fleet.bytesCame(connection, writtenAt);
-        router().bytesReceived(now(), connection.worker, now());
+        router().bytesReceived(now(), connection.worker);
+        router().callAnswered(now(), connection.worker, writtenAt);
     }
 
     /** More bytes of an answer came: nothing that was sent now has caused them. */
     private void moreBytesCame(Connection connection) {
         fleet.bytesCame(connection, 0);
-        router().bytesReceived(now(), connection.worker, now());
+        router().bytesReceived(now(), connection.worker);
     }
 
     // Connections
