--- a/core/src/main/java/sorrelhoist/core/request/RequestComponents.java
+++ b/core/src/main/java/sorrelhoist/core/request/RequestComponents.java
@@ -26,6 +26,7 @@
     final AttemptDeliveries deliveries;
     final AttemptTracker attempts;
     final AttemptFailures failures;
+    final RequestTermination termination;
     final InvariantMonitor invariantMonitor;
     final SendAuthorization sendAuthorization;
 
@@ -53,6 +54,8 @@
                         idempotencyWindow,
                         responses);
         failures = new AttemptFailures(attempts, reservations, recovery, commands);
+        long stallTimeout = settings.streams().clientStallTimeoutMicros();
+        termination = new RequestTermination(stallTimeout, decisions, failures, responses);
         invariantMonitor =
                 new InvariantMonitor(line -> commands.accept(new Command.ReportViolation(line)));
         sendAuthorization =
--- a/core/src/main/java/sorrelhoist/core/request/Router.java
+++ b/core/src/main/java/sorrelhoist/core/request/Router.java
@@ -87,8 +87,7 @@
         streams = new StreamTracker(attempts, failures, streamMonitor, core.responses);
         migration = new StreamMigration(settings.streams(), requests, failures);
         decodeSlots = new DecodeSlots(requests, reservations, decisions);
-        long stallTimeout = settings.streams().clientStallTimeoutMicros();
-        termination = new RequestTermination(stallTimeout, decisions, failures, core.responses);
+        termination = core.termination;
         timerDispatcher =
                 new TimerDispatcher(requests, decisions, failures, streamMonitor, termination);
         actionExecutor = ActionExecutor.create(core, migration, commands);
@@ -131,10 +130,7 @@
         }
     }
 
-    /**
-     * An attempt's connection has to come up before its request can be written. Reported while the
-     * attempt's command is carried out.
-     */
+    /** An attempt's connection has to come up first. Reported while its command is carried out. */
     public void attemptConnecting(long time, AttemptId id) {
         Attempt attempt = runningAttempt(time, id);
         if (attempt != null) {
@@ -277,16 +273,10 @@
         reservations.bytesReceived(engine);
     }
 
-    /**
-     * An engine began to answer a call of any kind.
-     *
-     * @param time now
-     * @param engine which
-     * @param writtenAt a time at which the call was not written yet
-     */
-    public void callAnswered(long time, String engine, long writtenAt) {
+    /** An engine began to answer a call of any kind, written later than {@code writtenAfter}. */
+    public void callAnswered(long time, String engine, long writtenAfter) {
         clock.advanceTo(time);
-        deliveries.callAnswered(engine, writtenAt);
+        deliveries.callAnswered(engine, writtenAfter);
     }
 
     /** The call that asked an engine for a sign of life ended; or none could be made. */
