Undo the release beside prefills, which takes away what they are about to leave

It is not needed either: the protocol's table of outcomes has an attempt to which nothing comes back time out when the router stops waiting, and the time of what is held counts from that outcome.

--- a/core/src/main/java/sorrelhoist/core/request/RequestReservations.java
+++ b/core/src/main/java/sorrelhoist/core/request/RequestReservations.java
@@ -176,11 +176,6 @@
 
     /** The last byte of the running attempt was written. */
     void written(RequestState request) {
-        Attempt attempt = request.runningAttempt;
-        if (oneKeyPerRequest && attempt.prefill) {
-            Hold running = Hold.ofRunningPrefill(attempt.engine, attempt.id.number());
-            table.prefillWritten(keyOf(attempt), running, clock.now());
-        }
         keysOf(request).forEach(key -> table.attemptWritten(key, clock.now()));
     }
 
--- a/core/src/main/java/sorrelhoist/core/reservation/Hold.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Hold.java
@@ -34,11 +34,6 @@
     public enum Certainty {
         /** The engine answered that it holds it. */
         CONFIRMED,
-        /**
-         * The attempt was written and is not answered: it may have ended at its engine, and its
-         * answer may not come.
-         */
-        RUNNING,
         /** The attempt was lost; it may have ended well, or may do so within the settling time. */
         POSSIBLE,
         /**
@@ -58,11 +53,6 @@
         return new Hold(engine, Kind.PREFILL_STATE, state, "", 0, Certainty.CONFIRMED);
     }
 
-    /** {@return what a prefill may have left already that was written and is not answered} */
-    public static Hold ofRunningPrefill(String engine, int attempt) {
-        return new Hold(engine, Kind.PREFILL_STATE, "", "", attempt, Certainty.RUNNING);
-    }
-
     /** {@return what a lost prefill may leave} */
     public static Hold ofLostPrefill(String engine, int attempt) {
         return new Hold(engine, Kind.PREFILL_STATE, "", "", attempt, Certainty.POSSIBLE);
@@ -90,11 +80,6 @@
         return new Hold(engine, Kind.DECODE_SLOT, "", slot, 0, certainty);
     }
 
-    /** {@return whether it lasts as long as the attempt is running} */
-    boolean isRunning() {
-        return certainty == Certainty.RUNNING;
-    }
-
     /** {@return whether it is a prefill's state, or may become one} */
     public boolean isState() {
         return kind == Kind.PREFILL_STATE;
--- a/core/src/main/java/sorrelhoist/core/reservation/HoldProof.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/HoldProof.java
@@ -24,9 +24,6 @@
  *   <tr><td>a release was answered</td><td>it was the last of those that follow each other once
  *     that engine was heard</td><td>the hold is released again: its engine may have been heard
  *     while the attempt's own connection was silent</td></tr>
- *   <tr><td>a release was answered</td><td>no prefill is out that may yet end</td><td>the hold of
- *     a running prefill is released again, within the limit each time, until it is answered or has
- *     ended: it may have ended at its engine, and the answer may not come</td></tr>
  *   <tr><td>an engine left the endpoint list</td><td>none: it is no proof</td><td>the engine need
  *     not be heard any more; the hold is released once more when it has settled</td></tr>
  * </table>
--- a/core/src/main/java/sorrelhoist/core/reservation/OpenHold.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/OpenHold.java
@@ -23,9 +23,6 @@
         boolean released) {
     /** {@return a hold that was opened now} */
     static OpenHold opened(Hold hold, ReleasePolicy policy, long now) {
-        if (hold.isRunning()) {
-            return new OpenHold(hold, true, now + policy.renewMicros(), false, 0, false);
-        }
         boolean confirmed = hold.certainty() == Certainty.CONFIRMED;
         boolean mayComeLate =
                 hold.certainty() == Certainty.GIVEN_UP || hold.certainty() == Certainty.UNDELIVERED;
@@ -51,7 +48,7 @@
 
     /** {@return whether it may be there after a release that was made at a time} */
     boolean mayOutlive(long releaseMadeAt) {
-        return releaseDueAt > releaseMadeAt || awaitsEngine || releasesLeft > 0 || hold.isRunning();
+        return releaseDueAt > releaseMadeAt || awaitsEngine || releasesLeft > 0;
     }
 
     /** {@return the same after an engine was heard} */
--- a/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
@@ -41,9 +41,7 @@
     // What happens to its request
 
     void opened(Hold hold, long now) {
-        if (!hold.isRunning()) {
-            history.add(ReservationStep.HELD, hold.engine(), now);
-        }
+        history.add(ReservationStep.HELD, hold.engine(), now);
         holds.add(OpenHold.opened(hold, policy, now));
         if (hold.isState() && hold.certainty() == Certainty.CONFIRMED) {
             releasedBesideDecode = false;
@@ -57,13 +55,6 @@
         unwanted = false;
     }
 
-    /** A prefill is out, as the first attempt since something was reserved. */
-    void prefillSent(String engine, long now) {
-        if (attempt == null) {
-            attemptSent(AttemptPurpose.PREFILL, engine, now);
-        }
-    }
-
     /** The attempt's last byte was written; nothing shows yet that its engine has it. */
     void attemptWritten(long now) {
         if (attempt != null) {
@@ -122,17 +113,6 @@
         }
         attempt = null;
         idleSince = reached ? now : idleSince;
-        runningPrefillEnded(ending, now);
-    }
-
-    /** What it may have left without an answer is released no later than if it ran on. */
-    private void runningPrefillEnded(AttemptEnding ending, long now) {
-        for (OpenHold open : holds) {
-            if (open.hold().isRunning() && ending != AttemptEnding.ANSWERED) {
-                idleSince = Math.min(now, open.releaseDueAt() - policy.idleMicros());
-            }
-        }
-        holds.removeIf(open -> open.hold().isRunning());
     }
 
     /** Nothing will take what is held any more. */
@@ -225,19 +205,10 @@
             return Long.MIN_VALUE;
         }
         return attempt != null && mayTake(attempt)
-                ? Math.min(attempt.releasableFrom(idleSince), runningPrefillDueAt())
+                ? attempt.releasableFrom(idleSince)
                 : idleSince + policy.idleMicros();
     }
 
-    /** {@return when what a running prefill may have left is released; Long.MAX_VALUE for none} */
-    private long runningPrefillDueAt() {
-        return holds.stream()
-                .filter(open -> open.hold().isRunning())
-                .mapToLong(OpenHold::releaseDueAt)
-                .min()
-                .orElse(Long.MAX_VALUE);
-    }
-
     private boolean mayTake(ReservationAttempt sent) {
         return sent.takesReservation() || holds.stream().allMatch(OpenHold::needed);
     }
--- a/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationTable.java
@@ -81,12 +81,6 @@
         opened(key, state, now);
     }
 
-    /** A prefill was written; from now on it may leave something at its engine. */
-    public void prefillWritten(ReservationKey key, Hold running, long now) {
-        opened(key, running, now);
-        update(key, reservation -> reservation.prefillSent(running.engine(), now));
-    }
-
     /** An attempt goes out. */
     public void attemptSent(ReservationKey key, AttemptPurpose purpose, String engine, long now) {
         update(
--- a/core/src/test/java/sorrelhoist/core/request/FaultyNetworkModelTest.java
+++ b/core/src/test/java/sorrelhoist/core/request/FaultyNetworkModelTest.java
@@ -148,4 +148,14 @@
         assertTrue(prefill.endedTooLate);
         assertEquals(MILLI, request.heldForNobodyMicros(SILENCE + MILLI));
     }
+
+    @Test
+    void aPrefillWhoseAnswerDoesNotComeIsOutUntilTheRouterStopsWaiting() {
+        SentAttempt prefill = arrived(0, true);
+        request.held(prefill, 0);
+        prefill.overAtWorker(WorkerEnd.ANSWERED, 0);
+        assertEquals(0, request.heldForNobodyMicros(SILENCE));
+        prefill.overAtRouter("cancelled", SILENCE);
+        assertEquals(MILLI, request.heldForNobodyMicros(SILENCE + MILLI));
+    }
 }
