Delay what the soak's links pass on by 1 to 10 ms each way

Need: links passed bytes on at once, so that nothing was ever under way. A router that takes bytes of a worker's other connections for a sign that an attempt has arrived was right in the soak whenever two milliseconds had gone by. Real ways are longer than that.

Change: each connection draws a delay for each direction from the run's seed (DelayLine); its bytes stay in order. A close or reset comes out after the bytes of its connection, 10 ms after it went in at most, now in both directions (only closes by routers were late before). A silence begins where bytes enter: what is under way arrives, so that a worker that hangs or is cut off is heard for up to 10 ms more. The oracle is told the true delay: sends are dated when their router made them, for all that AttemptCheck judges by the time of a send. Where two sends are compared (window of repeats), their links' delays would else bring them up to 9 ms nearer. Ends of attempts keep their date at the worker, states and releases too, as the protocol counts them; closes come up to 10 ms late there as before. No bound has changed. RouterFixture, which times the router alone, passes bytes at once, as it has no queues of workers.

WORKER_HANGS already plays a worker that hangs in the middle of its streams while others of its connections speak; with delays their last events arrive after the hang. No new kind is needed.

--- a/app/src/test/java/sorrelhoist/lab/soak/RouterFixture.java
+++ b/app/src/test/java/sorrelhoist/lab/soak/RouterFixture.java
@@ -56,11 +56,12 @@
                                 folder.resolve("fleet"),
                                 library,
                                 1));
-        // What is timed here is the router, not the queues of workers.
+        // What is timed here is the router, not the queues of workers or the links to them.
         for (WorkerNode worker : fleet.workers) {
             fleet.runOnLoop(() -> worker.standIn.setMaxQueueMillis(0));
         }
         router = fleet.routers.get(0);
+        fleet.runOnLoop(() -> router.links.forEach(FaultProxy::stopDelaying));
         router.start();
         assertTrue(router.process.awaitReady(BOUND_MILLIS), router.process.log());
     }
--- a/app/src/test/java/sorrelhoist/lab/soak/SoakTest.java
+++ b/app/src/test/java/sorrelhoist/lab/soak/SoakTest.java
@@ -22,6 +22,7 @@
     private static final long SECOND = 1_000_000_000;
     private static final long SEED = 3;
     private static final long HANGS_SEED = 8501;
+    private static final long LINK_DELAY = SECOND / 100;
     private static final int SECONDS = 14;
     private static final int ROUTERS = 3;
     private static final int WORKERS = 6;
@@ -107,6 +108,32 @@
         assertViolations(Invariant.NOTHING_AFTER_ANSWER);
     }
 
+    @Test
+    void aSendIsDatedWhenItsRouterMadeIt() {
+        RequestTrace request = soundRequest(FleetRules.RequestClass.SAFE);
+        long latest = request.answeredAt + Tolerances.TIMESTAMP;
+        AttemptTrace attempt = attempt(request, Role.READ, "w0", latest + LINK_DELAY);
+        attempt.linkDelay = LINK_DELAY;
+        assertViolations();
+        request.attempts.remove(attempt);
+        attempt(request, Role.READ, "w0", latest + LINK_DELAY + 1).linkDelay = LINK_DELAY;
+        assertViolations(Invariant.NOTHING_AFTER_ANSWER);
+    }
+
+    @Test
+    void aLateRepeatIsSeenThoughTheLinksBringItNearer() {
+        RequestTrace request = soundRequest(FleetRules.RequestClass.KEYED);
+        AttemptTrace first = request.attempts.get(0);
+        long window =
+                FleetRules.ORDINARY.idempotencyWindowMillis() * SECOND / 1000
+                        + Tolerances.TIMESTAMP / 2;
+        attempt(request, Role.WRITE, "w3", first.lastByteAt + window);
+        request.answeredAt = start + 3 * SECOND;
+        assertViolations();
+        first.linkDelay = LINK_DELAY;
+        assertViolations(Invariant.ONE_EFFECT);
+    }
+
     @Test
     void anAttemptForAClientThatLeftIsSeen() {
         RequestTrace request = soundRequest(FleetRules.RequestClass.SAFE);
--- a/lab/src/main/java/sorrelhoist/lab/soak/AttemptCheck.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/AttemptCheck.java
@@ -9,7 +9,8 @@
 
 /**
  * What routers send to workers: nothing after the end of a request, one attempt at a time, no
- * second effect, nothing to draining workers, and no more time than is left.
+ * second effect, nothing to draining workers, and no more time than is left. A send is dated when
+ * its router made it: what its link delays is not the router's.
  */
 final class AttemptCheck {
     private static final long CLIENT_LEFT_LIMIT = TimeUnit.MILLISECONDS.toNanos(100);
@@ -31,12 +32,12 @@
         for (AttemptTrace attempt : inOrderOfSending(request)) {
             checkAfterAnswer(request, attempt);
             checkAfterClientLeft(request, attempt);
-            if (attempt.firstByteAt < runningUntil) {
+            if (attempt.firstByteSentAt() < runningUntil) {
                 violations.add(
                         Invariant.ONE_ATTEMPT_AT_A_TIME,
                         request.id,
-                        attempt.firstByteAt,
-                        attempt.firstByteAt,
+                        attempt.firstByteSentAt(),
+                        attempt.firstByteSentAt(),
                         describe(request, attempt) + " while another was out");
             }
             if (attempt.endedAt != RequestTrace.NEVER && !wasCutOff(request, attempt)) {
@@ -51,7 +52,7 @@
 
     private static List<AttemptTrace> inOrderOfSending(RequestTrace request) {
         return request.attempts.stream()
-                .sorted(Comparator.comparingLong(attempt -> attempt.firstByteAt))
+                .sorted(Comparator.comparingLong(AttemptTrace::firstByteSentAt))
                 .toList();
     }
 
@@ -62,13 +63,14 @@
     private void checkAfterAnswer(RequestTrace request, AttemptTrace attempt) {
         long answeredAt = request.answeredAt;
         if (answeredAt != RequestTrace.NEVER
-                && attempt.firstByteAt > answeredAt + Tolerances.TIMESTAMP) {
-            String delay = " " + millis(attempt.firstByteAt - answeredAt) + " ms after the answer";
+                && attempt.firstByteSentAt() > answeredAt + Tolerances.TIMESTAMP) {
+            String delay =
+                    " " + millis(attempt.firstByteSentAt() - answeredAt) + " ms after the answer";
             violations.add(
                     Invariant.NOTHING_AFTER_ANSWER,
                     request.id,
                     answeredAt,
-                    attempt.firstByteAt,
+                    attempt.firstByteSentAt(),
                     describe(request, attempt) + delay);
         }
     }
@@ -76,13 +78,15 @@
     private void checkAfterClientLeft(RequestTrace request, AttemptTrace attempt) {
         long leftAt = request.abandonedAt;
         if (leftAt != RequestTrace.NEVER
-                && attempt.firstByteAt > leftAt + CLIENT_LEFT_LIMIT + Tolerances.ROUTER_PAUSE) {
-            String delay = " " + millis(attempt.firstByteAt - leftAt) + " ms after its client left";
+                && attempt.firstByteSentAt()
+                        > leftAt + CLIENT_LEFT_LIMIT + Tolerances.ROUTER_PAUSE) {
+            String delay =
+                    " " + millis(attempt.firstByteSentAt() - leftAt) + " ms after its client left";
             violations.add(
                     Invariant.NOTHING_AFTER_CLIENT_LEFT,
                     request.id,
                     leftAt,
-                    attempt.firstByteAt,
+                    attempt.firstByteSentAt(),
                     describe(request, attempt) + delay);
         }
     }
@@ -93,18 +97,20 @@
                         attempt.worker,
                         request.router,
                         request.routerIncarnation,
-                        attempt.firstByteAt);
+                        attempt.firstByteSentAt());
         long grace = TimeUnit.MILLISECONDS.toNanos(rules.drainGraceMillis());
         if (since != RequestTrace.NEVER
                 && !wasDelayed(request, attempt)
-                && attempt.firstByteAt > since + grace + Tolerances.TIMESTAMP / 2) {
+                && attempt.firstByteSentAt() > since + grace + Tolerances.TIMESTAMP / 2) {
             String delay =
-                    " " + millis(attempt.firstByteAt - since) + " ms after the router was told";
+                    " "
+                            + millis(attempt.firstByteSentAt() - since)
+                            + " ms after the router was told";
             violations.add(
                     Invariant.DRAIN,
                     request.id,
                     since,
-                    attempt.firstByteAt,
+                    attempt.firstByteSentAt(),
                     describe(request, attempt) + delay);
         }
     }
@@ -113,7 +119,7 @@
         if (request.sentAt == RequestTrace.NEVER || wasDelayed(request, attempt)) {
             return;
         }
-        long left = request.sentAt + request.budgetNanos - attempt.firstByteAt;
+        long left = request.sentAt + request.budgetNanos - attempt.firstByteSentAt();
         long allowed = Math.max(0, left) + Tolerances.ROUTER_PAUSE + Tolerances.TIMESTAMP / 2;
         if (TimeUnit.MILLISECONDS.toNanos(attempt.budgetMillis) > allowed) {
             String budget =
@@ -135,8 +141,9 @@
 
     /** {@return whether its link was silent just before it came: it may have been sent long ago} */
     private boolean wasDelayed(RequestTrace request, AttemptTrace attempt) {
-        long from = attempt.firstByteAt - DELIVERY_AFTER_SILENCE;
-        return timeline.wasLinkFaulty(request.router, attempt.worker, from, attempt.firstByteAt);
+        long sentAt = attempt.firstByteSentAt();
+        return timeline.wasLinkFaulty(
+                request.router, attempt.worker, sentAt - DELIVERY_AFTER_SILENCE, sentAt);
     }
 
     private void checkEffects(RequestTrace request) {
@@ -171,20 +178,20 @@
                 continue;
             }
             if (first != RequestTrace.NEVER
-                    && attempt.lastByteAt > first + window + Tolerances.TIMESTAMP / 2) {
-                String delay = millis(attempt.lastByteAt - first) + " ms";
+                    && attempt.lastByteSentAt() > first + window + Tolerances.TIMESTAMP / 2) {
+                String delay = millis(attempt.lastByteSentAt() - first) + " ms";
                 violations.add(
                         Invariant.ONE_EFFECT,
                         request.id,
                         first,
-                        attempt.lastByteAt,
+                        attempt.lastByteSentAt(),
                         "repeated at "
                                 + attempt.worker
                                 + " "
                                 + delay
                                 + " after an attempt that may have run");
             }
-            first = Math.min(first, attempt.lastByteAt);
+            first = Math.min(first, attempt.lastByteSentAt());
         }
     }
 
--- a/lab/src/main/java/sorrelhoist/lab/soak/FaultProxy.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/FaultProxy.java
@@ -15,23 +15,19 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import sorrelhoist.protocol.net.LoopbackTransport;
 
 /**
- * The network between one router and one worker: passes bytes on, falls silent, or resets its
- * connections.
+ * The network between one router and one worker: passes bytes on after a delay, falls silent, or
+ * resets its connections. A silence begins where bytes enter: those that are under way arrive.
  */
 final class FaultProxy {
     private static final long CONNECT_TIMEOUT_MICROS = 2_000_000;
     private static final int MAX_READS_PER_TURN = 64;
 
-    /** Nothing orders the end of one connection and the bytes of another. */
-    private static final int MAX_CLOSE_DELAY_MICROS = 10_000;
-
     private final EventLoop loop;
     private final WorkerStandIn worker;
-    private final Random delays = new Random(0);
+    private final Random random;
     private final Set<Link> links = new HashSet<>();
     private volatile Channel listener;
     private int port;
@@ -39,9 +35,28 @@
     /** How many faults silence it now; they may overlap. */
     private int silences;
 
-    FaultProxy(EventLoop loop, WorkerStandIn worker) {
+    private boolean delaying = true;
+
+    /**
+     * Creates one that does not take connections yet.
+     *
+     * @param loop its event loop, the worker's
+     * @param worker where it leads
+     * @param seed of its delays
+     */
+    FaultProxy(EventLoop loop, WorkerStandIn worker, long seed) {
         this.loop = loop;
         this.worker = worker;
+        this.random = new Random(seed);
+    }
+
+    /** Passes the bytes of connections to come on at once. */
+    void stopDelaying() {
+        delaying = false;
+    }
+
+    private DelayLine newDelayLine() {
+        return delaying ? DelayLine.drawn(loop, random) : DelayLine.undelayed(loop, random);
     }
 
     /**
@@ -110,6 +125,8 @@
     private final class Link extends ChannelInboundHandlerAdapter {
         private Channel routerSide;
         private Channel workerSide;
+        private final DelayLine toWorker = newDelayLine();
+        private final DelayLine toRouter = newDelayLine();
         private boolean frozen;
 
         /** What came while it was silent, until it is known whether its sender has reset it. */
@@ -144,7 +161,7 @@
             if (backlog != null) {
                 backlog.addComponent(true, (ByteBuf) message);
             } else {
-                workerSide.writeAndFlush(message);
+                toWorker.pass(() -> workerSide.writeAndFlush(message));
             }
         }
 
@@ -158,13 +175,15 @@
 
         private void deliverBacklog() {
             if (backlog != null) {
-                workerSide.writeAndFlush(backlog);
+                CompositeByteBuf late = backlog;
                 backlog = null;
+                toWorker.pass(() -> workerSide.writeAndFlush(late));
             }
         }
 
         private void connected(Channel channel) {
             workerSide = channel;
+            worker.linked(LoopbackTransport.localPort(channel), toWorker.delayNanos());
             if (!routerSide.isActive()) {
                 workerSide.close();
             } else if (!frozen) {
@@ -216,15 +235,22 @@
             links.remove(this);
             deliverBacklog();
             if (workerSide != null && workerSide.isActive()) {
-                int micros = delays.nextInt(MAX_CLOSE_DELAY_MICROS);
-                loop.schedule(this::closeWorkerSide, micros, TimeUnit.MICROSECONDS);
+                toWorker.passEnd(() -> closeOnceWritten(workerSide));
             }
         }
 
-        private void closeWorkerSide() {
-            workerSide
-                    .writeAndFlush(Unpooled.EMPTY_BUFFER)
-                    .addListener(ChannelFutureListener.CLOSE);
+        /** Closes a side after what was written to it. */
+        private void closeOnceWritten(Channel side) {
+            side.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
+
+        /** The worker has closed its connection, or reset it. */
+        private void workerEnded(boolean wasReset) {
+            if (wasReset) {
+                toRouter.pass(this::reset);
+            } else if (!frozen && routerSide.isActive()) {
+                toRouter.passEnd(() -> closeOnceWritten(routerSide));
+            }
         }
 
         @Override
@@ -232,7 +258,7 @@
             if (backlog != null) {
                 backlog.release();
                 backlog = null;
-                abort(workerSide);
+                toWorker.pass(() -> abort(workerSide));
             }
             context.close();
         }
@@ -253,24 +279,17 @@
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            link.routerSide.writeAndFlush(message);
+            link.toRouter.pass(() -> link.routerSide.writeAndFlush(message));
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            if (link.frozen) {
-                return;
-            }
-            if (link.routerSide.isActive()) {
-                link.routerSide
-                        .writeAndFlush(Unpooled.EMPTY_BUFFER)
-                        .addListener(ChannelFutureListener.CLOSE);
-            }
+            link.workerEnded(false);
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            link.reset();
+            link.workerEnded(true);
         }
     }
 }
--- a/lab/src/main/java/sorrelhoist/lab/soak/RequestTrace.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/RequestTrace.java
@@ -92,6 +92,9 @@
         /** When its last byte had come to the worker's machine, whether or not the worker ran. */
         long lastByteAt = NEVER;
 
+        /** How long its link delayed its bytes, nanoseconds. */
+        long linkDelay;
+
         /** When the worker took it. */
         long arrivedAt = NEVER;
 
@@ -118,6 +121,16 @@
             this.firstByteAt = firstByteAt;
         }
 
+        /** {@return when its router sent its first byte, unless a silent link held it back} */
+        long firstByteSentAt() {
+            return firstByteAt - linkDelay;
+        }
+
+        /** {@return when its router sent its last byte, unless a silent link held it back} */
+        long lastByteSentAt() {
+            return lastByteAt - linkDelay;
+        }
+
         /** {@return whether it stands in its worker's queue, before the state is fetched} */
         boolean isWaitingForState() {
             return role == WorkerEntry.Role.WRITE && arrivedAt != NEVER && waitEndedAt == NEVER;
--- a/lab/src/main/java/sorrelhoist/lab/soak/SoakFleet.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/SoakFleet.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import sorrelhoist.lab.soak.FleetTimeline.WorkerStart;
@@ -54,7 +55,8 @@
     private RouterNode newRouter(int number) throws IOException {
         RouterNode router = new RouterNode(number, plan, rules, harness, timeline, workers);
         for (WorkerNode worker : workers) {
-            FaultProxy link = new FaultProxy(harness.eventLoop(), worker.standIn);
+            long seed = Objects.hash(plan.seed(), number, worker.index);
+            FaultProxy link = new FaultProxy(harness.eventLoop(), worker.standIn, seed);
             link.open();
             router.links.add(link);
         }
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerConnection.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import sorrelhoist.lab.soak.RequestTrace.AttemptTrace;
@@ -27,6 +28,7 @@
     private final HttpHeadDecoder headDecoder = new HttpHeadDecoder(true, MAX_HEAD_BYTES);
     private final ByteBuf unread = Unpooled.buffer();
     private ChannelHandlerContext context;
+    private int remotePort;
     private HttpHead head;
     private HttpBodyDecoder body;
     private WorkerAttempt attempt;
@@ -49,9 +51,15 @@
         return closed;
     }
 
+    /** {@return the port from which it was opened} */
+    int remotePort() {
+        return remotePort;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext channelContext) {
         context = channelContext;
+        remotePort = ((InetSocketAddress) context.channel().remoteAddress()).getPort();
         worker.opened(this);
         idleSince = System.nanoTime();
         scheduleIdleCheck();
@@ -170,6 +178,7 @@
         }
         AttemptTrace trace = new AttemptTrace(worker.role, worker.uid, firstByteAt);
         trace.lastByteAt = latestByteAt;
+        trace.linkDelay = worker.linkDelayNanos(remotePort);
         trace.arrivedAt = System.nanoTime();
         trace.budgetMillis = Long.parseLong(head.header("x-budget-ms"));
         trace.endedAt = unnoticedCloseAt;
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
@@ -3,8 +3,10 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import sorrelhoist.lab.soak.RequestTrace.StateTrace;
@@ -27,6 +29,10 @@
     private final Random random;
     private final long idleTimeoutMillis;
     private final Set<WorkerConnection> connections = new HashSet<>();
+
+    /** By the port from which a link connects: how long it delays what a router sends. */
+    private final Map<Integer, Long> linkDelays = new HashMap<>();
+
     private volatile Channel listener;
     private int port;
     private HangMode hang;
@@ -177,6 +183,22 @@
 
     void closed(WorkerConnection connection) {
         connections.remove(connection);
+        linkDelays.remove(connection.remotePort());
+    }
+
+    /**
+     * A link has connected.
+     *
+     * @param port from which it did
+     * @param delayNanos how long it delays what a router sends
+     */
+    void linked(int port, long delayNanos) {
+        linkDelays.put(port, delayNanos);
+    }
+
+    /** {@return how long a link delays what a router sends, nanoseconds; 0 where there is none} */
+    long linkDelayNanos(int port) {
+        return linkDelays.getOrDefault(port, 0L);
     }
 
     /** Releases what is held for a request and no decode waits for. */
--- a/lab/src/test/java/sorrelhoist/lab/soak/SilentWorkersTest.java
+++ b/lab/src/test/java/sorrelhoist/lab/soak/SilentWorkersTest.java
@@ -4,12 +4,18 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import sorrelhoist.lab.soak.FaultProxy.AfterSilence;
+import sorrelhoist.lab.soak.RequestTrace.AttemptTrace;
 import sorrelhoist.lab.soak.WorkerEntry.Role;
 
 /** Workers that hang and links that fall silent behave as stopped processes and lost paths do. */
 class SilentWorkersTest extends WorkerStandInTestSupport {
+    private static final long SHORTEST_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final long LONGEST_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
     SilentWorkersTest() {
         super(Role.READ);
     }
@@ -95,4 +101,72 @@
             assertEquals("202", status(socket));
         }
     }
+
+    @Test
+    void bytesAreDelayedOnTheirWayToTheWorker() throws Exception {
+        try (Socket socket = provenConnection()) {
+            long writtenAt = System.nanoTime();
+            write(socket, inference());
+            assertEquals("202", status(socket));
+            AttemptTrace attempt = harness.call(() -> request.attempts.get(0));
+            assertTrue(attempt.linkDelay >= SHORTEST_DELAY_NANOS);
+            assertTrue(attempt.linkDelay <= LONGEST_DELAY_NANOS);
+            assertTrue(attempt.firstByteSentAt() >= writtenAt, "the link's delay is the true one");
+        }
+    }
+
+    @Test
+    void bytesAreDelayedOnTheirWayBack() throws Exception {
+        try (Socket socket = provenConnection()) {
+            write(socket, inference());
+            assertEquals("202", status(socket));
+            long readAt = System.nanoTime();
+            long answeredAt = harness.call(() -> request.attempts.get(0).endedAt);
+            assertTrue(readAt - answeredAt >= SHORTEST_DELAY_NANOS);
+        }
+    }
+
+    @Test
+    void bytesThatAreDelayedStayInOrder() throws Exception {
+        harness.run(() -> worker.setMisbehaviour(Misbehaviour.BYTE_BY_BYTE, 1));
+        try (Socket socket = provenConnection()) {
+            socket.setTcpNoDelay(true);
+            for (char letter : inference().toCharArray()) {
+                write(socket, Character.toString(letter));
+            }
+            assertEquals("202", status(socket));
+            String rest = " Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":7}";
+            byte[] read = socket.getInputStream().readNBytes(rest.length());
+            assertEquals(rest, new String(read, StandardCharsets.ISO_8859_1));
+        }
+    }
+
+    @Test
+    void aCloseArrivesAfterTheBytesBeforeIt() throws Exception {
+        try (Socket socket = provenConnection()) {
+            write(socket, inference());
+        }
+        await(() -> request.attempts.size() == 1 && request.states.size() == 1);
+        AttemptTrace attempt = harness.call(() -> request.attempts.get(0));
+        assertTrue(attempt.endedAt >= attempt.lastByteAt);
+    }
+
+    @Test
+    void whatAWorkerWroteBeforeItHungArrives() throws Exception {
+        try (Socket socket = provenConnection()) {
+            write(socket, inference());
+            await(() -> hangOnceAnswered());
+            assertEquals("202", status(socket));
+        }
+    }
+
+    private boolean hangOnceAnswered() {
+        boolean answered =
+                !request.attempts.isEmpty()
+                        && request.attempts.get(0).endedAt != RequestTrace.NEVER;
+        if (answered) {
+            worker.hang(HangMode.STOPPED);
+        }
+        return answered;
+    }
 }
--- a/lab/src/test/java/sorrelhoist/lab/soak/WorkerStandInTestSupport.java
+++ b/lab/src/test/java/sorrelhoist/lab/soak/WorkerStandInTestSupport.java
@@ -30,7 +30,7 @@
 
     WorkerStandInTestSupport(Role role) {
         worker = new WorkerStandIn("w0", role, harness.eventLoop(), log, 1, BOUND_MILLIS);
-        link = new FaultProxy(harness.eventLoop(), worker);
+        link = new FaultProxy(harness.eventLoop(), worker, 1);
     }
 
     @BeforeEach
