Let no new connection come up at a machine that the soak cuts off

The protocol says that new connections to a machine that is cut off never come up. The soak's proxy accepted them and was silent, so that a router took the attempt for written where it should have been connecting. ConnectionBlocker stops accepting and fills the accept queue of the proxy's listener (backlog 32, 33 connections of its own): Linux drops further SYNs, without any privilege. What is still connecting after the cut comes up with the SYN that its system repeats after 1 s.

--- a/lab/src/main/java/sorrelhoist/lab/soak/FaultProxy.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/FaultProxy.java
@@ -33,6 +33,7 @@
     private final WorkerStandIn worker;
     private final Random delays = new Random(0);
     private final Set<Link> links = new HashSet<>();
+    private final ConnectionBlocker connecting = new ConnectionBlocker();
     private volatile Channel listener;
     private int port;
 
@@ -49,8 +50,10 @@
      * it waits.
      */
     void open() throws IOException {
-        listener = StandInListener.listen(loop, port, Link::new);
-        port = LoopbackTransport.localPort(listener);
+        Channel opened = StandInListener.listen(loop, port, ConnectionBlocker.BACKLOG, Link::new);
+        listener = opened;
+        port = LoopbackTransport.localPort(opened);
+        loop.submit(() -> connecting.listenerOpened(opened)).syncUninterruptibly();
     }
 
     String endpoint() {
@@ -62,6 +65,7 @@
         if (listener != null) {
             listener.close();
             listener = null;
+            connecting.listenerClosed();
         }
         reset();
     }
@@ -79,14 +83,26 @@
         DELIVER
     }
 
-    /** Passes nothing on from now on. */
+    /** Lets no new connection come up from now on; those that are open are not touched. */
+    void blockConnections() {
+        connecting.block();
+    }
+
+    /** Lets new connections come up again, unless another block or a silence lasts. */
+    void unblockConnections() {
+        connecting.unblock();
+    }
+
+    /** Passes nothing on from now on, and lets no new connection come up. */
     void silence() {
+        connecting.block();
         silences++;
         links.forEach(Link::freeze);
     }
 
     /** Passes everything on again, unless another silence lasts. */
     void endSilence(AfterSilence after) {
+        connecting.unblock();
         silences--;
         if (silences == 0) {
             links.stream().filter(link -> link.frozen).toList().forEach(link -> link.thaw(after));
@@ -118,6 +134,10 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             routerSide = context.channel();
+            if (!connecting.admits(routerSide)) {
+                reset();
+                return;
+            }
             links.add(this);
             routerSide.config().setAutoRead(false);
             // Reads to the end of what there is, so that a reset behind it is seen with it.
