--- a/lab/src/main/java/sorrelhoist/lab/soak/FaultInjector.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/FaultInjector.java
@@ -17,6 +17,7 @@
     private final DiscoveryFaults discoveryFaults;
     private final WorkerFaults workerFaults;
     private final LinkFaults linkFaults;
+    private final ConnectFaults connectFaults;
     private final ClientFaults clientFaults;
 
     /**
@@ -42,6 +43,7 @@
         discoveryFaults = new DiscoveryFaults(fleet, actions);
         workerFaults = new WorkerFaults(fleet, actions);
         linkFaults = new LinkFaults(fleet, actions);
+        connectFaults = new ConnectFaults(fleet, actions);
         clientFaults = new ClientFaults(fleet, actions);
         for (ScheduledFault fault : faults) {
             actions.schedule(fault.atMillis(), () -> begin(fault));
@@ -86,6 +88,7 @@
             case LINK_SILENT -> linkFaults.silence(fault);
             case CONNECTIONS_SILENT -> linkFaults.silenceConnections(fault);
             case ROUTER_TERM_SERIES -> routerFaults.terminateSeries(fault);
+            case CONNECTIONS_LATE -> connectFaults.delay(fault);
             case LINK_RESET -> linkFaults.reset(fault);
             case CLIENTS_IDLE_CROWD -> clientFaults.openIdleConnections(fault);
             case CLIENTS_BAD_CROWD -> clientFaults.openMalformedConnections(fault);
--- a/lab/src/main/java/sorrelhoist/lab/soak/ScheduledFault.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/ScheduledFault.java
@@ -48,7 +48,8 @@
         SYSTEM_CALLS_FAIL,
         WALL_CLOCK_STEPS,
         CONNECTIONS_SILENT,
-        ROUTER_TERM_SERIES;
+        ROUTER_TERM_SERIES,
+        CONNECTIONS_LATE;
 
         /** {@return whether it needs the library of system-call faults} */
         public boolean needsLibrary() {
