Drop requests that have little time left at half of the soak's workers

Workers may drop a request with very little time left without a word. The soak's did so only when the time was over, and the clock of a state went on only when the router closed. Workers of every other cell of four now drop what has less than 100 ms left, on arrival or when its turn comes; the connection stays open and the attempt is over there, so that the clock of its state runs from that moment, which is stricter than before. That two attempts are not out at once is judged by the connection's end as before.

--- a/app/src/test/java/sorrelhoist/lab/soak/SoakTest.java
+++ b/app/src/test/java/sorrelhoist/lab/soak/SoakTest.java
@@ -239,6 +239,19 @@
         assertViolations(Invariant.RELEASED);
     }
 
+    @Test
+    void theTimeOfAStateRunsFromTheMomentInWhichItsDecodeIsDropped() {
+        RequestTrace request = soundRequest(FleetRules.RequestClass.SAFE);
+        StateTrace state = new StateTrace("w0", start + SECOND);
+        state.releasedAt = start + 4 * SECOND;
+        request.states.add(state);
+        AttemptTrace decode = request.attempts.get(0);
+        decode.endedAt = start + 4 * SECOND;
+        assertViolations();
+        decode.droppedAt = decode.waitEndedAt;
+        assertViolations(Invariant.RELEASED);
+    }
+
     @Test
     void aRequestOfALateShutdownThatTheKillLeavesOpenIsSeen() {
         RequestTrace request = request(FleetRules.RequestClass.SAFE);
--- a/lab/src/main/java/sorrelhoist/lab/soak/RequestTrace.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/RequestTrace.java
@@ -109,6 +109,9 @@
          */
         long waitEndedAt = NEVER;
 
+        /** When the worker dropped it without a word: it is over, and its connection is open. */
+        long droppedAt = NEVER;
+
         /** Whether the worker wrote its stream to the last chunk. */
         boolean streamFinished;
 
@@ -125,7 +128,8 @@
 
         /** {@return until when what is held for its request may have been for it} */
         long outUntil() {
-            return role == WorkerEntry.Role.WRITE ? Math.max(endedAt, waitEndedAt) : endedAt;
+            long overAt = Math.min(endedAt, droppedAt);
+            return role == WorkerEntry.Role.WRITE ? Math.max(overAt, waitEndedAt) : overAt;
         }
 
         boolean mayHaveRun() {
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerAttempt.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerAttempt.java
@@ -69,9 +69,13 @@
         misbehaviour = worker.drawMisbehaviour();
         if (worker.isDraining() || misbehaviour == Misbehaviour.FULL) {
             reject(UNAVAILABLE);
-        } else if (isTimeOver()) {
-            endOverdue();
-        } else if (misbehaviour == Misbehaviour.ERROR) {
+        } else if (!endIfTooLate()) {
+            run();
+        }
+    }
+
+    private void run() {
+        if (misbehaviour == Misbehaviour.ERROR) {
             answerError();
         } else if (misbehaviour == Misbehaviour.RESET_AFTER_REQUEST) {
             trace.waitEndedAt = System.nanoTime();
@@ -84,9 +88,19 @@
         }
     }
 
-    private boolean isTimeOver() {
+    /** Ends it if its time is over or too little is left. {@return whether it did} */
+    private boolean endIfTooLate() {
         long budget = TimeUnit.MILLISECONDS.toNanos(trace.budgetMillis);
-        return System.nanoTime() - trace.arrivedAt > budget;
+        long left = trace.arrivedAt + budget - System.nanoTime();
+        if (left < 0) {
+            endOverdue();
+            return true;
+        }
+        if (left < TimeUnit.MILLISECONDS.toNanos(worker.minMillisLeft())) {
+            drop();
+            return true;
+        }
+        return false;
     }
 
     /** Nobody needs it any more: it is rejected, or dropped without a word. It has not run. */
@@ -94,11 +108,17 @@
         if (random().nextBoolean()) {
             reject(TIME_OVER);
         } else {
-            trace.rejected = true;
-            trace.waitEndedAt = Math.min(trace.waitEndedAt, System.nanoTime());
+            drop();
         }
     }
 
+    /** Ends it without a word: it has not run, and its connection stays open. */
+    private void drop() {
+        trace.rejected = true;
+        trace.droppedAt = System.nanoTime();
+        trace.waitEndedAt = Math.min(trace.waitEndedAt, trace.droppedAt);
+    }
+
     private Random random() {
         return worker.random();
     }
@@ -154,8 +174,7 @@
         if (trace.waitEndedAt != RequestTrace.NEVER) {
             return;
         }
-        if (isTimeOver()) {
-            endOverdue();
+        if (endIfTooLate()) {
             return;
         }
         if (misbehaviour == Misbehaviour.STATE_UNREACHABLE) {
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerNode.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerNode.java
@@ -14,6 +14,10 @@
 
     private static final int WORKERS_PER_CELL = 4;
     private static final int SEED_FACTOR = 31;
+
+    /** With less than this left, the workers of every other cell drop a request. */
+    private static final long LITTLE_TIME_MILLIS = 100;
+
     final int index;
     final WorkerStandIn standIn;
     State state = State.ACTIVE;
@@ -56,6 +60,9 @@
                         seed * SEED_FACTOR + index,
                         idleTimeoutMillis);
         standIn.setCancelsQueuedAttempts((index / 2 + seed) % 2 == 0);
+        if ((index / WORKERS_PER_CELL + seed) % 2 == 0) {
+            standIn.setMinMillisLeft(LITTLE_TIME_MILLIS);
+        }
         standIn.start();
     }
 
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
@@ -32,6 +32,7 @@
     private HangMode hang;
     private boolean cancelsQueuedAttempts = true;
     private int maxQueueMillis = MAX_QUEUE_MILLIS;
+    private long minMillisLeft;
     private boolean draining;
     private Misbehaviour misbehaviour = Misbehaviour.NONE;
     private double misbehavingShare;
@@ -125,6 +126,15 @@
         cancelsQueuedAttempts = cancels;
     }
 
+    /** Sets the time that an attempt has to have left: with less it is dropped without a word. */
+    void setMinMillisLeft(long millis) {
+        minMillisLeft = millis;
+    }
+
+    long minMillisLeft() {
+        return minMillisLeft;
+    }
+
     /** Sets how long a decode waits at most before its state is fetched. */
     void setMaxQueueMillis(int millis) {
         maxQueueMillis = millis;
--- a/lab/src/test/java/sorrelhoist/lab/soak/WorkerStandInTestSupport.java
+++ b/lab/src/test/java/sorrelhoist/lab/soak/WorkerStandInTestSupport.java
@@ -19,6 +19,7 @@
 abstract class WorkerStandInTestSupport {
     static final int BOUND_MILLIS = 20_000;
     static final int QUIET_MILLIS = 300;
+    static final long BUDGET_MILLIS = 1000;
     static final String ID = "r1";
 
     final HarnessLoop harness = new HarnessLoop();
@@ -57,9 +58,15 @@
     }
 
     static String inference() {
+        return inference(ID, BUDGET_MILLIS);
+    }
+
+    static String inference(String id, long budgetMillis) {
         return "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Call-Id: "
-                + ID
-                + "\r\nX-Budget-Ms: 1000\r\nContent-Length: 2\r\n\r\n{}";
+                + id
+                + "\r\nX-Budget-Ms: "
+                + budgetMillis
+                + "\r\nContent-Length: 2\r\n\r\n{}";
     }
 
     static String status(Socket socket) throws IOException {
