Bound the slots and the queue of the soak's workers in place of drawn rejections

A full worker rejected a drawn part of what came, without regard to load, and no decode waited for longer than 150 ms. Workers now have slots and a bounded queue: a decode waits until a stream ends and keeps its state from being released meanwhile, a prefill waits for memory that states of earlier ones take until they are let go, and what fits neither is turned away with 503 and X-Rejected. FULL now leaves a worker 3 slots and 6 places in its queue.

--- a/lab/src/main/java/sorrelhoist/lab/soak/Misbehaviour.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/Misbehaviour.java
@@ -9,6 +9,7 @@
     SECOND_ANSWER,
     SILENT_IN_STREAM,
     RESET_IN_STREAM,
+    /** Has few slots and a short queue, for all that comes: turns away what does not fit. */
     FULL,
     BYTE_BY_BYTE,
     /** Answers by an error, though it may have run. */
--- a/lab/src/main/java/sorrelhoist/lab/soak/RequestTrace.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/RequestTrace.java
@@ -67,7 +67,7 @@
      */
     boolean releaseStates(long now) {
         List<StateTrace> held = states.stream().filter(StateTrace::isHeld).toList();
-        held.forEach(state -> state.releasedAt = now);
+        held.forEach(state -> state.release(now));
         return !held.isEmpty();
     }
 
@@ -143,6 +143,9 @@
         final long heldAt;
         long releasedAt = NEVER;
 
+        /** Frees the memory that it takes. */
+        Runnable whenReleased = () -> {};
+
         StateTrace(String worker, long heldAt) {
             this.worker = worker;
             this.heldAt = heldAt;
@@ -151,5 +154,10 @@
         boolean isHeld() {
             return releasedAt == NEVER;
         }
+
+        private void release(long at) {
+            releasedAt = at;
+            whenReleased.run();
+        }
     }
 }
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerAttempt.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerAttempt.java
@@ -8,13 +8,17 @@
 import sorrelhoist.lab.soak.WorkerEntry.Role;
 
 /** One attempt at a worker: it is rejected, or its prompt is prefilled, or its answer streamed. */
-final class WorkerAttempt {
+final class WorkerAttempt implements WorkerSlots.Waiter {
     private static final int PREFILL_MILLIS = 25;
 
     private static final long FIRST_EVENT_MILLIS = 25;
     private static final int EVENT_MILLIS = 40;
     private static final int MAX_EVENTS = 25;
     private static final long SILENT_STREAM_MILLIS = 60_000;
+
+    /** The platform frees what a stopped router left some seconds later. */
+    private static final long MEMORY_RECLAIM_MILLIS = 5000;
+
     private static final int NEVER = -1;
     private static final int UNAVAILABLE = 503;
     private static final int GONE = 410;
@@ -37,7 +41,10 @@
     private final WorkerConnection connection;
     private final RequestTrace request;
     private final AttemptTrace trace;
+    private final WorkerSlots slots;
     private Misbehaviour misbehaviour = Misbehaviour.NONE;
+    private boolean holdsSlot;
+    private boolean streaming;
     private int events;
     private int breaksAtEvent = NEVER;
 
@@ -50,6 +57,7 @@
         this.connection = connection;
         this.request = request;
         this.trace = trace;
+        this.slots = worker.slots();
     }
 
     AttemptTrace trace() {
@@ -67,7 +75,7 @@
 
     private void begin() {
         misbehaviour = worker.drawMisbehaviour();
-        if (worker.isDraining() || misbehaviour == Misbehaviour.FULL) {
+        if (worker.isDraining()) {
             reject(UNAVAILABLE);
         } else if (!endIfTooLate()) {
             run();
@@ -80,7 +88,18 @@
         } else if (misbehaviour == Misbehaviour.RESET_AFTER_REQUEST) {
             trace.waitEndedAt = System.nanoTime();
             connection.reset();
-        } else if (worker.role == Role.READ) {
+        } else if (!slots.enter(this)) {
+            reject(UNAVAILABLE);
+        }
+    }
+
+    @Override
+    public void slotTaken() {
+        holdsSlot = true;
+        if (endIfTooLate()) {
+            return;
+        }
+        if (worker.role == Role.READ) {
             int millis = PREFILL_MILLIS / 2 + random().nextInt(PREFILL_MILLIS);
             runLater(millis, this::completePrefill);
         } else {
@@ -88,6 +107,23 @@
         }
     }
 
+    private void freeSlot() {
+        if (holdsSlot) {
+            holdsSlot = false;
+            slots.free();
+        }
+    }
+
+    /** Nobody waits for it any more. */
+    void connectionEnded() {
+        if (worker.cancelsQueuedAttempts()) {
+            slots.leaveQueue(this);
+        }
+        if (streaming) {
+            freeSlot();
+        }
+    }
+
     /** Ends it if its time is over or too little is left. {@return whether it did} */
     private boolean endIfTooLate() {
         long budget = TimeUnit.MILLISECONDS.toNanos(trace.budgetMillis);
@@ -117,6 +153,7 @@
         trace.rejected = true;
         trace.droppedAt = System.nanoTime();
         trace.waitEndedAt = Math.min(trace.waitEndedAt, trace.droppedAt);
+        freeSlot();
     }
 
     private Random random() {
@@ -141,7 +178,10 @@
 
     /** Holds the state of the prompt, also where nobody waits for it any more. */
     private void completePrefill() {
-        request.states.add(new StateTrace(worker.uid, System.nanoTime()));
+        StateTrace state = new StateTrace(worker.uid, System.nanoTime());
+        state.whenReleased = this::freeSlot;
+        request.states.add(state);
+        connection.schedule(this::freeSlot, MEMORY_RECLAIM_MILLIS);
         if (connection.isClosed()) {
             return;
         }
@@ -161,6 +201,7 @@
                         + status
                         + " Turned Away\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n");
         connection.attemptEnded();
+        freeSlot();
     }
 
     private void answerError() {
@@ -172,6 +213,7 @@
     /** A slot and memory are free; the attempt may be one that nobody waits for any more. */
     private void fetchState() {
         if (trace.waitEndedAt != RequestTrace.NEVER) {
+            freeSlot();
             return;
         }
         if (endIfTooLate()) {
@@ -184,6 +226,7 @@
         trace.waitEndedAt = System.nanoTime();
         boolean fetched = request.releaseStates(trace.waitEndedAt);
         if (connection.isClosed()) {
+            freeSlot();
             return;
         }
         if (fetched) {
@@ -194,6 +237,7 @@
     }
 
     private void startStream() {
+        streaming = true;
         events = 1 + random().nextInt(MAX_EVENTS);
         List<Misbehaviour> breaking =
                 List.of(Misbehaviour.SILENT_IN_STREAM, Misbehaviour.RESET_IN_STREAM);
@@ -235,6 +279,7 @@
         String last = chunk(LAST_EVENTS) + LAST_CHUNK;
         write(misbehaviour == Misbehaviour.SECOND_ANSWER ? last + SECOND_RESPONSE : last);
         connection.attemptEnded();
+        freeSlot();
     }
 
     /** {@return an event that carries the time at which it is written} */
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerConnection.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerConnection.java
@@ -225,6 +225,7 @@
             if (worker.cancelsQueuedAttempts() || !worker.isAlive()) {
                 trace.waitEndedAt = Math.min(trace.waitEndedAt, System.nanoTime());
             }
+            attempt.connectionEnded();
         }
     }
 
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import sorrelhoist.lab.soak.RequestTrace.StateTrace;
 import sorrelhoist.lab.soak.WorkerEntry.Role;
+import sorrelhoist.lab.soak.WorkerSlots.Capacity;
 import sorrelhoist.protocol.net.LoopbackTransport;
 
 /**
@@ -20,6 +21,12 @@
     /** A decode waits up to so long for a slot and memory, unless a test wants another time. */
     private static final int MAX_QUEUE_MILLIS = 150;
 
+    /** More than the soak's traffic takes while nothing is wrong. */
+    private static final Capacity ORDINARY_CAPACITY = new Capacity(32, 64);
+
+    /** Less than the soak's traffic takes. */
+    private static final Capacity FULL_CAPACITY = new Capacity(3, 6);
+
     final String uid;
     final Role role;
     private final EventLoop loop;
@@ -36,6 +43,8 @@
     private boolean draining;
     private Misbehaviour misbehaviour = Misbehaviour.NONE;
     private double misbehavingShare;
+    private Capacity capacity = ORDINARY_CAPACITY;
+    private WorkerSlots slots = new WorkerSlots(ORDINARY_CAPACITY);
 
     /**
      * Creates a worker that is not started yet.
@@ -87,7 +96,9 @@
         listener.close();
         listener = null;
         hang = null;
+        slots.clearQueue();
         List.copyOf(connections).forEach(WorkerConnection::reset);
+        slots = new WorkerSlots(capacity);
         long now = System.nanoTime();
         for (RequestTrace request : log.requests()) {
             request.attempts.stream()
@@ -162,6 +173,17 @@
     void setMisbehaviour(Misbehaviour kind, double share) {
         misbehaviour = kind;
         misbehavingShare = share;
+        setCapacity(kind == Misbehaviour.FULL ? FULL_CAPACITY : ORDINARY_CAPACITY);
+    }
+
+    /** Changes how much it takes from now on. */
+    void setCapacity(Capacity next) {
+        capacity = next;
+        slots.setCapacity(next);
+    }
+
+    WorkerSlots slots() {
+        return slots;
     }
 
     /** {@return what goes wrong with the next answer} */
