--- a/lab/src/main/java/sorrelhoist/lab/soak/RequestTrace.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/RequestTrace.java
@@ -67,7 +67,7 @@
      */
     boolean releaseStates(long now) {
         List<StateTrace> held = states.stream().filter(StateTrace::isHeld).toList();
-        held.forEach(state -> state.releasedAt = now);
+        held.forEach(state -> state.release(now));
         return !held.isEmpty();
     }
 
@@ -112,6 +112,9 @@
          */
         long waitEndedAt = NEVER;
 
+        /** When the worker dropped it without a word: it is over, and its connection is open. */
+        long droppedAt = NEVER;
+
         /** Whether the worker wrote its stream to the last chunk. */
         boolean streamFinished;
 
@@ -138,7 +141,8 @@
 
         /** {@return until when what is held for its request may have been for it} */
         long outUntil() {
-            return role == WorkerEntry.Role.WRITE ? Math.max(endedAt, waitEndedAt) : endedAt;
+            long overAt = Math.min(endedAt, droppedAt);
+            return role == WorkerEntry.Role.WRITE ? Math.max(overAt, waitEndedAt) : overAt;
         }
 
         boolean mayHaveRun() {
@@ -152,6 +156,9 @@
         final long heldAt;
         long releasedAt = NEVER;
 
+        /** Frees the memory that it takes. */
+        Runnable whenReleased = () -> {};
+
         StateTrace(String worker, long heldAt) {
             this.worker = worker;
             this.heldAt = heldAt;
@@ -160,5 +167,10 @@
         boolean isHeld() {
             return releasedAt == NEVER;
         }
+
+        private void release(long at) {
+            releasedAt = at;
+            whenReleased.run();
+        }
     }
 }
--- a/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
+++ b/lab/src/main/java/sorrelhoist/lab/soak/WorkerStandIn.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import sorrelhoist.lab.soak.RequestTrace.StateTrace;
 import sorrelhoist.lab.soak.WorkerEntry.Role;
+import sorrelhoist.lab.soak.WorkerSlots.Capacity;
 import sorrelhoist.protocol.net.LoopbackTransport;
 
 /**
@@ -22,6 +23,12 @@
     /** A decode waits up to so long for a slot and memory, unless a test wants another time. */
     private static final int MAX_QUEUE_MILLIS = 150;
 
+    /** More than the soak's traffic takes while nothing is wrong. */
+    private static final Capacity ORDINARY_CAPACITY = new Capacity(32, 64);
+
+    /** Less than the soak's traffic takes. */
+    private static final Capacity FULL_CAPACITY = new Capacity(3, 6);
+
     final String uid;
     final Role role;
     private final EventLoop loop;
@@ -38,9 +45,12 @@
     private HangMode hang;
     private boolean cancelsQueuedAttempts = true;
     private int maxQueueMillis = MAX_QUEUE_MILLIS;
+    private long minMillisLeft;
     private boolean draining;
     private Misbehaviour misbehaviour = Misbehaviour.NONE;
     private double misbehavingShare;
+    private Capacity capacity = ORDINARY_CAPACITY;
+    private WorkerSlots slots = new WorkerSlots(ORDINARY_CAPACITY);
 
     /**
      * Creates a worker that is not started yet.
@@ -92,7 +102,9 @@
         listener.close();
         listener = null;
         hang = null;
+        slots.clearQueue();
         List.copyOf(connections).forEach(WorkerConnection::reset);
+        slots = new WorkerSlots(capacity);
         long now = System.nanoTime();
         for (RequestTrace request : log.requests()) {
             request.attempts.stream()
@@ -131,6 +143,15 @@
         cancelsQueuedAttempts = cancels;
     }
 
+    /** Sets the time that an attempt has to have left: with less it is dropped without a word. */
+    void setMinMillisLeft(long millis) {
+        minMillisLeft = millis;
+    }
+
+    long minMillisLeft() {
+        return minMillisLeft;
+    }
+
     /** Sets how long a decode waits at most before its state is fetched. */
     void setMaxQueueMillis(int millis) {
         maxQueueMillis = millis;
@@ -158,6 +179,17 @@
     void setMisbehaviour(Misbehaviour kind, double share) {
         misbehaviour = kind;
         misbehavingShare = share;
+        setCapacity(kind == Misbehaviour.FULL ? FULL_CAPACITY : ORDINARY_CAPACITY);
+    }
+
+    /** Changes how much it takes from now on. */
+    void setCapacity(Capacity next) {
+        capacity = next;
+        slots.setCapacity(next);
+    }
+
+    WorkerSlots slots() {
+        return slots;
     }
 
     /** {@return what goes wrong with the next answer} */
