Show by failing tests that a failed decode restarts the time of a lost prefill

Where writers read prompts, a decode of a request that holds no prefill state counts as answered when it fails, though it never connected or nothing shows that it arrived. What a lost prefill may have left then waits for half a limit more after each of them.

Fail: LeaseOfRequestsTest.aDecodeThatNeverConnected... and aDecodeThatNothingConfirms...

--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/request/LeaseOfRequestsTest.java
@@ -0,0 +1,95 @@
+package sorrelhoist.core.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import sorrelhoist.routing.RoutingEvents.ListUpdateKind;
+import sorrelhoist.routing.RoutingEvents.Outcome;
+import sorrelhoist.routing.RoutingEvents.Server;
+import sorrelhoist.routing.RoutingEvents.ServerLoad;
+import sorrelhoist.routing.RoutingEvents.ServerState;
+
+/** What is held for requests whose attempts fail one after the other. */
+class LeaseOfRequestsTest extends AnsweringEnginesTestSupport {
+    /** A router of a deployment whose writers may read prompts. */
+    private final Router reading =
+            new Router(Fleet.platformSettings(true, BUDGET), commands::add);
+
+    private <T extends Command> T last(Class<T> type) {
+        List<T> every = all(type);
+        return every.get(every.size() - 1);
+    }
+
+    /** Its readers drain, so writers are to read the prompt; what it has left is not released. */
+    private void prefillLost() {
+        reading.endpointsUpdated(0, ListUpdateKind.COMPLETE, Fleet.servers());
+        reading.requestArrived(now, Fleet.call(Fleet.SAFE, 10, BUDGET));
+        Command.StartPrefill prefill = last(Command.StartPrefill.class);
+        reading.attemptConnecting(now, prefill.attempt());
+        reading.attemptWritten(now, prefill.attempt());
+        reading.endpointsUpdated(now, ListUpdateKind.UPDATE, drainingReaders());
+        reading.attemptFailed(now, prefill.attempt(), Outcome.RESET, 0, ServerLoad.NONE);
+        assertEquals(1, all(Command.StartDecode.class).size());
+    }
+
+    private static List<Server> drainingReaders() {
+        return Fleet.servers().stream()
+                .filter(server -> server.id().startsWith("r"))
+                .map(
+                        server ->
+                                new Server(
+                                        server.id(),
+                                        server.zone(),
+                                        server.kind(),
+                                        server.cell(),
+                                        ServerState.DRAINING,
+                                        server.size(),
+                                        server.since()))
+                .toList();
+    }
+
+    private void passReadingTo(long time) {
+        while (now < time) {
+            now = Math.min(time, now + STEP);
+            reading.advance(now);
+        }
+    }
+
+    private void assertReleasedInTime() {
+        int releases = all(Command.ReleaseReservation.class).size();
+        int decodes = all(Command.StartDecode.class).size();
+        assertTrue(releases > 0, "no release within " + now + " us, " + decodes + " decodes");
+    }
+
+    @Test
+    void aDecodeThatNeverConnectedDoesNotRestartTheTimeOfWhatALostPrefillMayLeave() {
+        prefillLost();
+        for (int decode = 0; decode < 2; decode++) {
+            Command.StartDecode connecting = last(Command.StartDecode.class);
+            reading.attemptConnecting(now, connecting.attempt());
+            passReadingTo(now + Fleet.RELEASE / 2 - STEP);
+            reading.attemptFailed(
+                    now, connecting.attempt(), Outcome.CONNECT_FAILED, 0, ServerLoad.NONE);
+        }
+        passReadingTo(Fleet.RELEASE);
+        assertReleasedInTime();
+    }
+
+    @Test
+    void aDecodeThatNothingConfirmsDoesNotRestartTheTimeOfWhatALostPrefillMayLeave() {
+        prefillLost();
+        int written = 0;
+        while (now < Fleet.RELEASE) {
+            if (all(Command.StartDecode.class).size() > written) {
+                written++;
+                Command.StartDecode silent = last(Command.StartDecode.class);
+                reading.attemptConnecting(now, silent.attempt());
+                reading.attemptWritten(now, silent.attempt());
+            }
+            passReadingTo(now + STEP);
+        }
+        assertReleasedInTime();
+    }
+}
