Show by failing tests that the end of an unanswered decode restarts a state's time

Only other connections spoke for the decode. It is given up right before the release that is due beside it, and the next one has four fifths of the limit anew.

--- a/core/src/test/java/sorrelhoist/core/request/LeaseOfRequestsTest.java
+++ b/core/src/test/java/sorrelhoist/core/request/LeaseOfRequestsTest.java
@@ -13,6 +13,11 @@
 
 /** What is held for requests whose attempts fail one after the other. */
 class LeaseOfRequestsTest extends AnsweringEnginesTestSupport {
+    private static final long LIMIT_MILLIS = Fleet.RELEASE / STEP;
+
+    /** The first decode is given up after 384 ms, right before a release is due beside it. */
+    private static final long SHORT_BUDGET = 650 * STEP;
+
     /** A router of a deployment whose writers may read prompts. */
     private final Router reading =
             new Router(Fleet.platformSettings(true, BUDGET), commands::add);
@@ -92,4 +97,24 @@
         }
         assertReleasedInTime();
     }
+
+    /** Both decodes are out on connections that are silent, and others speak for their engines. */
+    @Test
+    void aSecondDecodeThatOnlyOtherConnectionsSpeakForDoesNotRestartTheTimeOfItsState() {
+        client = router.requestArrived(now, Fleet.call(Fleet.SAFE, 10, SHORT_BUDGET));
+        Command.StartPrefill prefill = all(Command.StartPrefill.class).get(0);
+        written(prefill);
+        passAnsweringTo(PREFILLED);
+        questionAnswered(prefill.engine(), now - STEP);
+        router.prefillCompleted(now, prefill.attempt(), "", 0, ServerLoad.NONE);
+        written(all(Command.StartDecode.class).get(0));
+        while (all(Command.StartDecode.class).size() < 2) {
+            assertTrue(now < SHORT_BUDGET, "not sent elsewhere");
+            passAnsweringTo(now + STEP);
+        }
+        written(last(Command.StartDecode.class));
+        passAnsweringTo(PREFILLED + 2 * Fleet.RELEASE);
+        long pause = longestPauseMillis(PREFILLED, lastReleaseAt());
+        assertTrue(pause <= LIMIT_MILLIS, "no release for " + pause + " ms");
+    }
 }
--- /dev/null
+++ b/core/src/test/java/sorrelhoist/core/reservation/LeaseOfUnansweredAttemptsTest.java
@@ -0,0 +1,35 @@
+package sorrelhoist.core.reservation;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Holds of attempts that no engine has answered, where something else happens meanwhile. */
+class LeaseOfUnansweredAttemptsTest extends ReservationTableTestSupport {
+    private static final long MILLI = 1000;
+
+    /** Another connection speaks for it; its own may be silent. */
+    private void decodeThatOnlyOthersSpeakFor(String engine) {
+        table.attemptSent(KEY, AttemptPurpose.DECODE_RESERVED, engine, now);
+        table.attemptConnecting(KEY, now);
+        table.attemptWritten(KEY, now);
+        table.attemptDelivered(KEY, now);
+    }
+
+    private void stateWithDecodeThatOnlyOthersSpeakFor() {
+        table.prefillCompleted(KEY, Hold.ofPrefillState("r0", ""), now);
+        decodeThatOnlyOthersSpeakFor("w0");
+    }
+
+    /** The first is given up just before the release that is due beside it. */
+    @Test
+    void theEndOfADecodeThatOnlyOthersSpokeForDoesNotRestartTheTimeOfItsState() {
+        stateWithDecodeThatOnlyOthersSpeakFor();
+        passAnsweringTo(POLICY.renewMicros() - MILLI);
+        table.attemptEnded(KEY, AttemptEnding.GIVEN_UP, now);
+        decodeThatOnlyOthersSpeakFor("w1");
+        passAnsweringTo(2 * LIMIT);
+        long pause = longestPause(0, now);
+        assertTrue(pause <= LIMIT, "no release for " + pause + " us");
+    }
+}
