Show by failing tests that each engine that is heard hastens all releases

Any engine of which a sign of life was awaited makes the next release of every hold due at once, also where it concerns another engine. Beside a decode that is out for longer than four fifths of the limit that is one call for each client that leaves.

--- a/core/src/test/java/sorrelhoist/core/request/LeaseOfRequestsTest.java
+++ b/core/src/test/java/sorrelhoist/core/request/LeaseOfRequestsTest.java
@@ -117,4 +117,38 @@
         long pause = longestPauseMillis(PREFILLED, lastReleaseAt());
         assertTrue(pause <= LIMIT_MILLIS, "no release for " + pause + " ms");
     }
+
+    /** Clients leave early at engines that answer: each such end awaits a sign of life. */
+    @Test
+    void clientsThatLeaveDoNotMultiplyTheReleasesOfOtherRequests() {
+        Command.StartDecode slow = decodeWritten(Fleet.UNSAFE);
+        passAnsweringTo(PREFILLED + Fleet.RELEASE);
+        long before = releasesOf(slow.requestName());
+        long from = now;
+        while (now < from + 2 * Fleet.SECOND) {
+            long other = router.requestArrived(now, callNamed("other" + now));
+            written(last(Command.StartPrefill.class));
+            passAnsweringTo(now + 5 * STEP);
+            questionAnswered(last(Command.StartPrefill.class).engine(), now - STEP);
+            router.clientDisconnected(now, other);
+            passAnsweringTo(now + 45 * STEP);
+        }
+        long made = releasesOf(slow.requestName()) - before;
+        assertTrue(made <= 6, made + " releases of one request within 2 s");
+    }
+
+    private static InferenceRequest callNamed(String name) {
+        return InferenceRequest.builder("x".repeat(400), 100, 10)
+                .clientRequestId(name)
+                .classIndex(Fleet.SAFE)
+                .session(name)
+                .timeoutMicros(BUDGET)
+                .build();
+    }
+
+    private long releasesOf(String name) {
+        return all(Command.ReleaseReservation.class).stream()
+                .filter(release -> release.requestName().equals(name))
+                .count();
+    }
 }
--- a/core/src/test/java/sorrelhoist/core/reservation/LeaseOfUnansweredAttemptsTest.java
+++ b/core/src/test/java/sorrelhoist/core/reservation/LeaseOfUnansweredAttemptsTest.java
@@ -1,5 +1,6 @@
 package sorrelhoist.core.reservation;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
@@ -32,4 +33,16 @@
         long pause = longestPause(0, now);
         assertTrue(pause <= LIMIT, "no release for " + pause + " us");
     }
+
+    @Test
+    void anEngineThatIsHeardHastensNoReleaseOfHoldsThatDoNotAwaitIt() {
+        stateWithDecodeThatOnlyOthersSpeakFor();
+        passAnsweringTo(POLICY.renewMicros());
+        assertEquals(1, calls.size());
+        while (now < 2 * POLICY.renewMicros() - 10 * MILLI) {
+            table.engineHeard("r1", now);
+            passAnsweringTo(now + 10 * MILLI);
+        }
+        assertEquals(1, calls.size(), "each sign of life of another engine is a release");
+    }
 }
