Show by a failing test that a late answer puts the next release beside a decode off

The next release is due four fifths of the limit after an answer came, not after its call was made. The answer to an older call, from an engine that was stopped, puts it off once more.

--- a/core/src/test/java/sorrelhoist/core/reservation/LeaseOfUnansweredAttemptsTest.java
+++ b/core/src/test/java/sorrelhoist/core/reservation/LeaseOfUnansweredAttemptsTest.java
@@ -45,4 +45,19 @@
         }
         assertEquals(1, calls.size(), "each sign of life of another engine is a release");
     }
+
+    /** The first release of two lay at a stopped engine; its answer is as late. */
+    @Test
+    void aLateAnswerDoesNotPutTheNextReleaseBesideADecodeOff() {
+        stateWithDecodeThatOnlyOthersSpeakFor();
+        passTo(POLICY.renewMicros() + POLICY.retryMicros());
+        assertEquals(2, calls.size());
+        answerLast(true);
+        long answeredAt = now;
+        passTo(answeredAt + POLICY.renewMicros() - MILLI);
+        table.releaseCompleted(calls.get(0).id(), true, now);
+        passAnsweringTo(answeredAt + 2 * LIMIT);
+        long pause = longestPause(answeredAt, now);
+        assertTrue(pause <= LIMIT, "no release for " + pause + " us");
+    }
 }
