Show by a failing test that a decode is sent again though its state is gone

Its connection took so long that a release went out and was answered before it was written, which ends the reservation. A reservation that is gone counts as one that was never released.

Fails: LeaseOfRequestsTest.aDecodeWhoseStateWasReleased... ('its state was released ==> expected: <1> but was: <2>').

--- a/core/src/test/java/sorrelhoist/core/request/LeaseOfRequestsTest.java
+++ b/core/src/test/java/sorrelhoist/core/request/LeaseOfRequestsTest.java
@@ -27,6 +27,25 @@
         return every.get(every.size() - 1);
     }
 
+    /** The decode connection comes up after the release went out and was answered. */
+    @Test
+    void aDecodeWhoseStateWasReleasedAsItsConnectionCameUpIsNotSentToAnotherDecoder() {
+        client = router.requestArrived(now, Fleet.call(Fleet.SAFE, 10, BUDGET));
+        Command.StartPrefill prefill = all(Command.StartPrefill.class).get(0);
+        written(prefill);
+        passAnsweringTo(PREFILLED);
+        router.prefillCompleted(now, prefill.attempt(), "", 0, ServerLoad.NONE);
+        Command.StartDecode decode = all(Command.StartDecode.class).get(0);
+        router.attemptConnecting(now, decode.attempt());
+        passAnsweringTo(PREFILLED + 3 * Fleet.RELEASE / 5);
+        assertTrue(releases() > 0, "nothing was released");
+        router.attemptWritten(now, decode.attempt());
+        passAnsweringTo(now + 10 * STEP);
+        router.attemptFailed(now, decode.attempt(), Outcome.FULL, 0, ServerLoad.NONE);
+        assertEquals(1, all(Command.StartDecode.class).size(), "its state was released");
+        assertEquals(2, all(Command.StartPrefill.class).size());
+    }
+
     /** Its readers drain, so writers are to read the prompt; what it has left is not released. */
     private void prefillLost() {
         reading.endpointsUpdated(0, ListUpdateKind.COMPLETE, Fleet.servers());
