Show by a failing test that an exit waits for renewals that are on their way

A hold that was released once need not keep the process, but each of its renewals does until it is answered. With many such holds one is on its way at most moments.

--- a/core/src/test/java/sorrelhoist/core/reservation/LeaseOfUnansweredAttemptsTest.java
+++ b/core/src/test/java/sorrelhoist/core/reservation/LeaseOfUnansweredAttemptsTest.java
@@ -60,4 +60,18 @@
         long pause = longestPause(answeredAt, now);
         assertTrue(pause <= LIMIT, "no release for " + pause + " us");
     }
+
+    @Test
+    void anExitDoesNotWaitForTheRenewalOfAHoldThatWasReleased() {
+        table.opened(KEY, Hold.ofUndeliveredPrefill("r0", 0), now);
+        table.unwanted(KEY, now);
+        answerLast(true);
+        passAnsweringTo(2 * LIMIT);
+        assertEquals(0, table.releasableCount());
+        int before = calls.size();
+        while (calls.size() == before) {
+            passTo(now + MILLI);
+        }
+        assertEquals(0, table.releasableCount(), "a renewal on its way keeps the process");
+    }
 }
