Show by a failing test that a read which ends late is not released

The close of its silent connection never arrives, its engine is heard on others, and releases end about 1.9 s later at the most. A long prompt takes longer, or one behind others.

--- a/core/src/test/java/sorrelhoist/core/reservation/LeaseOfUnansweredAttemptsTest.java
+++ b/core/src/test/java/sorrelhoist/core/reservation/LeaseOfUnansweredAttemptsTest.java
@@ -74,4 +74,19 @@
         }
         assertEquals(0, table.releasableCount(), "a renewal on its way keeps the process");
     }
+
+    /** A long prompt, or one behind others; the close of its silent connection never arrives. */
+    @Test
+    void aReadThatEndsTwoSecondsAfterItsEngineWasHeardIsReleasedInTime() {
+        table.opened(KEY, Hold.ofGivenUpPrefill("r0", 0), now);
+        table.unwanted(KEY, now);
+        answerLast(true);
+        passAnsweringTo(10 * MILLI);
+        table.engineHeard("r0", now);
+        long readAt = now + 4 * LIMIT;
+        passAnsweringTo(readAt + LIMIT);
+        boolean released = callTimes.stream().anyMatch(time -> time >= readAt);
+        long last = callTimes.get(callTimes.size() - 1);
+        assertTrue(released, "the last release was sent " + (readAt - last) + " us before");
+    }
 }
