Show by a failing test that an engine's absence from the list ends its holds

A stopped engine is taken off the list as silent, runs again, reads what it had, and is listed again. Its hold was forgotten within 0.7 s. The other way round whatAnUndeliveredPrefillMayLeaveIsReleasedOnceMoreWhenItsEngineHasLeft asks for an empty table then, so one of the two needs a decision.

--- a/core/src/test/java/sorrelhoist/core/reservation/LeaseOfUnansweredAttemptsTest.java
+++ b/core/src/test/java/sorrelhoist/core/reservation/LeaseOfUnansweredAttemptsTest.java
@@ -89,4 +89,21 @@
         long last = callTimes.get(callTimes.size() - 1);
         assertTrue(released, "the last release was sent " + (readAt - last) + " us before");
     }
+
+    /** A stopped engine is taken off the list as silent; it runs again and is listed again. */
+    @Test
+    void whatAnEngineReadsThatLeftTheListUnheardIsReleasedOnceItIsListedAgain() {
+        table.opened(KEY, Hold.ofUndeliveredPrefill("r0", 0), now);
+        table.unwanted(KEY, now);
+        answerLast(true);
+        passAnsweringTo(2 * LIMIT);
+        table.engineRemoved("r0", now);
+        engines.removed("r0");
+        passAnsweringTo(8 * LIMIT);
+        engines.added("r0");
+        long backAt = now;
+        table.engineHeard("r0", now);
+        passAnsweringTo(backAt + LIMIT);
+        assertTrue(callTimes.stream().anyMatch(time -> time > backAt), "no release since it left");
+    }
 }
