Let only answers restart the time of a hold, and bound what follows an attempt by time

Found by an independent review, each by a failing test of LeaseOfUnansweredAttemptsTest or LeaseOfRequestsTest (limit 500 ms, the operators add 300): the end of a decode that only other connections spoke for restarted the time of its state ('no release for 799000 us'), and so did a failed decode of a request without a state, for what a lost prefill may have left ('no release within 500000 us, 3 decodes'); a late answer put the next release beside a decode off by as much; each engine that was heard made the releases of every hold due ('expected: <1> but was: <40>'); a decode was sent again though its state was released before it was written; an exit waited for renewals on their way; and what an attempt leaves was released four times once its engine was heard, and once when it left the list, though a read may end later.

The time of a hold restarts at an answer alone; renewals count from when the latest answered call was made; an engine that is heard changes the holds that await it alone; what follows is a time, four limits from when the engine was heard and six from when it left the list, in place of a number of calls. All of these tests pass.

--- a/core/src/main/java/sorrelhoist/core/request/AttemptDeliveries.java
+++ b/core/src/main/java/sorrelhoist/core/request/AttemptDeliveries.java
@@ -84,7 +84,7 @@
 
     /** The attempt's last byte was written. */
     void written(Attempt attempt) {
-        long heldSince = reservations.heldSince(attempt.request);
+        long heldSince = attempt.prefill ? clock.now() : reservations.heldSince(attempt.request);
         monitor.written(attempt, attempt.delivery, heldSince, clock.now());
     }
 
--- a/core/src/main/java/sorrelhoist/core/request/AttemptFailures.java
+++ b/core/src/main/java/sorrelhoist/core/request/AttemptFailures.java
@@ -52,9 +52,11 @@
         long outcomeNote = note;
         if (attempt.prefill) {
             request.apply(RequestPhase.Transition.PREFILL_FAILED);
-        } else if (stateMissing || request.prefillState == null) {
+        } else if (stateMissing) {
             reservations.prefillStateNotFetched(request);
             request.apply(RequestPhase.Transition.PREFILL_STATE_LOST);
+        } else if (request.prefillState == null) {
+            request.apply(RequestPhase.Transition.PREFILL_STATE_LOST);
         } else if (reservations.isPrefillStateReleased(request)) {
             reservations.dropPrefillState(request);
             request.apply(RequestPhase.Transition.PREFILL_STATE_LOST);
--- a/core/src/main/java/sorrelhoist/core/request/RequestReservations.java
+++ b/core/src/main/java/sorrelhoist/core/request/RequestReservations.java
@@ -242,10 +242,10 @@
         dropPrefillState(request);
     }
 
-    /** {@return whether the prefill state was released beside a decode that did not take it} */
+    /** {@return whether the prefill state of a request may have been released before its decode} */
     boolean isPrefillStateReleased(RequestState request) {
-        return oneKeyPerRequest
-                && table.wasReleasedBesideDecode(ReservationKey.ofRequest(request.name));
+        ReservationKey key = ReservationKey.ofRequest(request.name);
+        return oneKeyPerRequest && (!table.isHeld(key) || table.wasReleasedBesideDecode(key));
     }
 
     /** No attempt of a request uses its prefill state any more; the prompt is read again. */
--- a/core/src/main/java/sorrelhoist/core/reservation/HoldProof.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/HoldProof.java
@@ -21,11 +21,12 @@
  *   <tr><td>a release was answered</td><td>the engine of the given-up attempt was heard after its
  *     end</td><td>the hold is released again and again, within the limit each time: behind a cut
  *     an engine goes on with what it has</td></tr>
- *   <tr><td>a release was answered</td><td>it was the last of those that follow each other once
- *     that engine was heard</td><td>the hold is released again: its engine may have been heard
- *     while the attempt's own connection was silent</td></tr>
+ *   <tr><td>a release was answered</td><td>some limits were over when the call was made since that
+ *     engine was heard</td><td>the hold is released again: the attempt may have to wait there, or
+ *     its own connection may be silent</td></tr>
  *   <tr><td>an engine left the endpoint list</td><td>none: it is no proof</td><td>the engine need
- *     not be heard any more; the hold is released once more when it has settled</td></tr>
+ *     not be heard any more; the hold is released for some seconds more, as a stopped engine may be
+ *     taken off the list and go on</td></tr>
  * </table>
  */
 final class HoldProof {
--- a/core/src/main/java/sorrelhoist/core/reservation/ReleasePolicy.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReleasePolicy.java
@@ -15,7 +15,8 @@
     private static final int CONFIRMATION_SHARE = 5;
     private static final int LATEST_START_PERCENT = 60;
     private static final int PERCENT = 100;
-    private static final int RELEASES_ONCE_HEARD = 4;
+    private static final int LATE_ARRIVAL_FACTOR = 4;
+    private static final int REMOVED_ENGINE_FACTOR = 6;
 
     /**
      * {@return how long after a request's last outcome its reservations are released where nothing
@@ -43,12 +44,20 @@
     }
 
     /**
-     * {@return how often what an attempt may leave that its engine has not answered is released
-     * once that engine was heard again} The calls follow each other at {@link #renewMicros()}: the
-     * attempt may have to wait there, and its own connection may be silent for longer than others.
+     * {@return for how long what an attempt may leave that its engine has not answered is released
+     * once that engine was heard again} The attempt may have to wait there, and its own connection
+     * may be silent for longer than others.
      */
-    public int releasesOnceHeard() {
-        return RELEASES_ONCE_HEARD;
+    public long lateArrivalMicros() {
+        return limitMicros * LATE_ARRIVAL_FACTOR;
+    }
+
+    /**
+     * {@return for how long what such an attempt may leave is released once its engine has left the
+     * endpoint list} A stopped engine may be taken off the list, and go on with what it has.
+     */
+    public long removedEngineMicros() {
+        return limitMicros * REMOVED_ENGINE_FACTOR;
     }
 
     /**
--- a/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/Reservation.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.UnaryOperator;
 import sorrelhoist.core.reservation.Hold.Certainty;
 
 /** The holds of one key, the attempt that may take them, and the calls that release them. */
@@ -28,6 +29,9 @@
     /** Whether a release may have let go of what a decode that is out has not taken yet. */
     private boolean releasedBesideDecode;
 
+    /** When the latest of the releases was made that were answered beside a decode. */
+    private long latestAnsweredAt;
+
     /** Whether it was reported that it has waited for too long. */
     private boolean overdueReported;
 
@@ -99,20 +103,19 @@
     }
 
     /**
-     * The attempt ended. Where it never reached its engine, the time of what is held has run on,
+     * The attempt ended. Where its engine has not answered it, the time of what is held has run on,
      * and a release that had begun before it goes on.
      */
     void attemptEnded(AttemptEnding ending, long now) {
-        boolean reached = ending != AttemptEnding.NOT_SENT;
+        boolean answered = ending == AttemptEnding.ANSWERED;
         if (attempt != null) {
             history.add(ReservationStep.of(ending), attempt.engine, now);
-            reached = attempt.hasReachedEngine(ending);
             takeFailed |= attempt.takesReservation();
-            unwanted |= attempt.stoppedRelease && !reached;
+            unwanted |= attempt.stoppedRelease && !answered;
             releases.callBy(now);
         }
         attempt = null;
-        idleSince = reached ? now : idleSince;
+        idleSince = answered ? now : idleSince;
     }
 
     /** Nothing will take what is held any more. */
@@ -155,25 +158,35 @@
      * make sure of it}
      */
     boolean isReleased() {
-        return releases.isEmpty() && holds.stream().allMatch(OpenHold::released);
+        return holds.stream().allMatch(OpenHold::released);
     }
 
     /** An engine is reachable again: what was on its way there arrives now, or never. */
     void engineHeard(String engine, long now) {
         if (holds.stream().anyMatch(open -> open.awaits(engine))) {
             history.add(ReservationStep.ENGINE_HEARD, engine, now);
+            settle(engine, open -> open.engineHeard(policy, now));
         }
-        holds.replaceAll(open -> open.engineHeard(engine, policy, now));
-        releases.callBy(nextRelease(now));
     }
 
     /** An engine is gone, and what may have been held there with it. */
     void engineRemoved(String engine, long now) {
         if (holds.stream().anyMatch(open -> open.awaits(engine))) {
             history.add(ReservationStep.ENGINE_REMOVED, engine, now);
+            settle(engine, open -> open.engineRemoved(policy, now));
+        }
+    }
+
+    /** Changes the holds that await an engine; their releases alone become due earlier by it. */
+    private void settle(String engine, UnaryOperator<OpenHold> change) {
+        for (int i = 0; i < holds.size(); i++) {
+            OpenHold open = holds.get(i);
+            if (open.awaits(engine)) {
+                OpenHold settling = change.apply(open);
+                holds.set(i, settling);
+                releases.callBy(settling.releaseDueAt());
+            }
         }
-        holds.replaceAll(open -> open.engineRemoved(engine, policy, now));
-        releases.callBy(nextRelease(now));
     }
 
     /** {@return why what is held is released now} */
@@ -253,7 +266,7 @@
         }
         if (answered.decodeWasOut()) {
             history.add(ReservationStep.RELEASE_UNPROVEN, "", now);
-            answerProvesNothing(now);
+            answerProvesNothing(answered.madeAt, now);
             return false;
         }
         history.add(ReservationStep.RELEASE_PROVEN, "", now);
@@ -264,10 +277,11 @@
     }
 
     /** The decode may never have arrived, so it does not put the next release off without end. */
-    private void answerProvesNothing(long now) {
+    private void answerProvesNothing(long madeAt, long now) {
         releases.restart();
         if (isDecodeOut()) {
-            releases.callFrom(now + policy.renewMicros());
+            latestAnsweredAt = Math.max(latestAnsweredAt, madeAt);
+            releases.callFrom(latestAnsweredAt + policy.renewMicros());
         } else if (releases.isEmpty()) {
             releases.callFrom(now);
         }
--- a/core/src/main/java/sorrelhoist/core/reservation/ReservationAttempt.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReservationAttempt.java
@@ -57,15 +57,6 @@
                 && progress != Progress.CONNECTING;
     }
 
-    /** {@return whether it has stopped the time of what is held: it is known to have arrived} */
-    boolean hasReachedEngine(AttemptEnding ending) {
-        return switch (ending) {
-            case ANSWERED -> true;
-            case NOT_SENT -> false;
-            case LOST, GIVEN_UP -> progress == Progress.DELIVERED;
-        };
-    }
-
     /**
      * {@return from when on what it may take is released all the same; Long.MAX_VALUE for never}
      * That its engine has it is inferred from other connections: its own may be silent, and its
