Move no keyed decode whose endpoint may read its prompt after the window

Found by review: a keyed decode that nothing confirms was sent elsewhere where its state was read, as a late one finds that gone. Where endpoints that decode may read prompts, a late one reads the prompt itself and has its effect once more, outside its window. It waits on there, as unsafe ones do. Failed before: KeyedDecodeFailoverTest; it passes.

--- a/decide/src/main/java/sorrelhoist/routing/DeliveryFailover.java
+++ b/decide/src/main/java/sorrelhoist/routing/DeliveryFailover.java
@@ -61,12 +61,15 @@
 
     /**
      * A keyed decode that reads its prompt by itself may arrive after its window, and have its
-     * effect once more then. One that needs a prefilled state finds that gone.
+     * effect once more then. One that needs a prefilled state finds that gone, unless its endpoint
+     * reads the prompt then.
      */
-    private static boolean isRepeatable(TrackedRequest request) {
+    private boolean isRepeatable(TrackedRequest request) {
         return switch (request.requestClass.idempotency()) {
             case SAFE -> true;
-            case KEYED -> request.prefilledAt != null;
+            case KEYED ->
+                    request.prefilledAt != null
+                            && !context.settings().capabilities().decodersMayPrefill();
             case UNSAFE -> false;
         };
     }
