Pause the releases for an engine that is never heard after sixty limits

What an engine had begun before it fell silent has ended long before sixty limits are over; the hold is kept and released again once that engine is heard. LateArrivalReleaseTest asks for the pause (it failed before: calls went on) and for the releases after it.

--- a/core/src/main/java/sorrelhoist/core/reservation/ReleasePolicy.java
+++ b/core/src/main/java/sorrelhoist/core/reservation/ReleasePolicy.java
@@ -17,6 +17,7 @@
     private static final int PERCENT = 100;
     private static final int LATE_ARRIVAL_FACTOR = 4;
     private static final int REMOVED_ENGINE_FACTOR = 6;
+    private static final int UNHEARD_ENGINE_FACTOR = 60;
 
     /**
      * {@return how long after a request's last outcome its reservations are released where nothing
@@ -52,6 +53,15 @@
         return limitMicros * LATE_ARRIVAL_FACTOR;
     }
 
+    /**
+     * {@return for how long what such an attempt may leave is released while its engine is not
+     * heard} It is released again once that engine is heard, however late; what it had begun before
+     * it fell silent has ended by then.
+     */
+    public long unheardEngineMicros() {
+        return limitMicros * UNHEARD_ENGINE_FACTOR;
+    }
+
     /**
      * {@return for how long what such an attempt may leave is released once its engine has left the
      * endpoint list} A stopped engine may be taken off the list, and go on with what it has.
--- a/core/src/test/java/sorrelhoist/core/reservation/LateArrivalReleaseTest.java
+++ b/core/src/test/java/sorrelhoist/core/reservation/LateArrivalReleaseTest.java
@@ -115,4 +115,15 @@
         passAnsweringTo(SETTLED_AFTER);
         assertEquals(0, table.size());
     }
+
+    /** A dead engine that stays on the list must not cost more calls with each request. */
+    @Test
+    void releasesForAnEngineThatIsNeverHeardPauseAfterAWhileAndGoOnOnceItIsHeard() {
+        openUnwanted(Hold.ofUndeliveredPrefill("r0", 0));
+        passAnsweringTo(POLICY.unheardEngineMicros() + POLICY.renewMicros());
+        int before = calls.size();
+        passAnsweringTo(10 * POLICY.unheardEngineMicros());
+        assertEquals(before, calls.size());
+        assertReleasedUntilItHasSettled();
+    }
 }
