--- a/core/src/test/java/sorrelhoist/core/reservation/LateArrivalReleaseTest.java
+++ b/core/src/test/java/sorrelhoist/core/reservation/LateArrivalReleaseTest.java
@@ -48,8 +48,7 @@
     }
 
     @Test
-    void
-            whatAnUndeliveredPrefillMayLeaveIsReleasedForSomeTimeWhenItsEngineHasLeftAndThenForgotten() {
+    void whatAPrefillMayLeaveIsReleasedForSomeTimeAfterItsEngineHasLeft() {
         openUnwanted(Hold.ofUndeliveredPrefill("r0", 0));
         passAnsweringTo(10 * LIMIT);
         table.engineRemoved("r1", now);
