--- a/app/src/test/java/sorrelhoist/lab/soak/SoakTest.java
+++ b/app/src/test/java/sorrelhoist/lab/soak/SoakTest.java
@@ -22,6 +22,7 @@
     private static final long SECOND = 1_000_000_000;
     private static final long SEED = 3;
     private static final long HANGS_SEED = 8501;
+    private static final long FULL_SEED = 8404;
     private static final long LINK_DELAY = SECOND / 100;
     private static final int SECONDS = 14;
     private static final int ROUTERS = 3;
@@ -334,8 +335,27 @@
                 HANGS_SEED, EnumSet.of(Kind.WORKER_HANGS, Kind.LINK_SILENT), null);
     }
 
+    /** A decode that was given up stands in a full worker's queue and keeps its state. */
+    @Test
+    void aShortSeedOfFullWorkersLeavesNoStateReservedForLongerThanItsLimit() throws Exception {
+        Set<Kind> kinds = EnumSet.of(Kind.WORKER_MISBEHAVES, Kind.LINK_RESET);
+        SoakResult result = play(FULL_SEED, kinds, null);
+        assertTrue(result.served() > result.requests() / 2, result.summary());
+        List<Violation> late =
+                result.violations().stream()
+                        .filter(violation -> violation.invariant() == Invariant.RELEASED)
+                        .toList();
+        assertEquals(List.of(), late);
+    }
+
     private void assertKeepsEveryInvariant(long seed, Set<Kind> kinds, Path library)
             throws Exception {
+        SoakResult result = play(seed, kinds, library);
+        assertTrue(result.passed(), result.violations() + " " + result.guardViolations());
+        assertTrue(result.served() > result.requests() / 2, result.summary());
+    }
+
+    private SoakResult play(long seed, Set<Kind> kinds, Path library) throws Exception {
         List<String> command =
                 List.of(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -345,20 +365,17 @@
                         "-cp",
                         System.getProperty("java.class.path"),
                         "sorrelhoist.platform.Platform");
-        SoakResult result =
-                new SoakRunner(System.out::println)
-                        .run(
-                                new SoakPlan(
-                                        seed,
-                                        SECONDS,
-                                        ROUTERS,
-                                        WORKERS,
-                                        ScheduledFault.generateSchedule(seed, SECONDS, kinds),
-                                        command,
-                                        folder.resolve("soak"),
-                                        library,
-                                        40));
-        assertTrue(result.passed(), result.violations() + " " + result.guardViolations());
-        assertTrue(result.served() > result.requests() / 2, result.summary());
+        return new SoakRunner(System.out::println)
+                .run(
+                        new SoakPlan(
+                                seed,
+                                SECONDS,
+                                ROUTERS,
+                                WORKERS,
+                                ScheduledFault.generateSchedule(seed, SECONDS, kinds),
+                                command,
+                                folder.resolve("soak"),
+                                library,
+                                40));
     }
 }
