--- a/review/harness/Worker.java
+++ b/review/harness/Worker.java
@@ -14,6 +14,7 @@
     final boolean reader;
     private final Fleet fleet;
     private final ServerSocket server;
+    private java.net.InetSocketAddress elsewhere;
 
     /** How long the reading of a prompt takes. */
     volatile long readMillis = 120;
@@ -45,7 +46,12 @@
     }
 
     String address() {
-        return "127.0.0.1:" + server.getLocalPort();
+        return "127.0.0.1:" + (elsewhere == null ? server.getLocalPort() : elsewhere.getPort());
+    }
+
+    /** Lists another address for this worker, at which the test itself plays it. */
+    void listenElsewhere(java.net.InetSocketAddress address) {
+        elsewhere = address;
     }
 
     private void accept() {
