--- a/review/harness-2/src/Discovery.java
+++ b/review/harness-2/src/Discovery.java
@@ -20,6 +20,9 @@
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private long rev;
 
+    /** How long it takes to answer. */
+    volatile long delayMillis;
+
     Discovery(Record record, String name, long firstRev) throws IOException {
         this.record = record;
         this.name = name;
@@ -109,7 +112,7 @@
         }
     }
 
-    private void serve(Socket socket) throws IOException {
+    private void serve(Socket socket) throws Exception {
         Http.Head head = Http.readHead(socket.getInputStream());
         if (head == null) {
             socket.close();
@@ -124,6 +127,7 @@
                     + "\r\n\r\n" + list));
             return;
         }
+        Thread.sleep(delayMillis);
         long from = Long.parseLong(target.replaceAll(".*from=([0-9]+).*", "$1"));
         synchronized (this) {
             out.write(Http.bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
