Charge request heads by their heap, and let the end of the loop end the process

Cause: a head was limited by its bytes on the wire, but each field became an entry of a map (16 KiB: over 3,000 entries, some 300 KB), and the memory budget that clients share counted none of it, before the head was complete, while its content was awaited or while its request was open. The heap ran out; the report of the survived error needed memory too and threw out of the handler; and the end of the loop was to be told by another thread, Netty's global executor, and was not.

Values of equal names are joined when asked for.

--- a/protocol/src/main/java/sorrelhoist/protocol/http1/HttpBodyDecoder.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/http1/HttpBodyDecoder.java
@@ -95,6 +95,11 @@
         return declaredLength;
     }
 
+    /** {@return the memory that is held for an incomplete line of the framing, in bytes} */
+    public int heldBytes() {
+        return lines.heldBytes();
+    }
+
     /** {@return whether all of the content has arrived} */
     public boolean isComplete() {
         return state == State.COMPLETE;
--- a/protocol/src/main/java/sorrelhoist/protocol/http1/HttpHeadDecoder.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/http1/HttpHeadDecoder.java
@@ -1,9 +1,7 @@
 package sorrelhoist.protocol.http1;
 
 import io.netty.buffer.ByteBuf;
-import java.util.LinkedHashMap;
 import java.util.Locale;
-import java.util.Map;
 
 /**
  * Decodes the heads of HTTP/1.1 messages (RFC 9112, sections 2 to 5) incrementally. Rejects input
@@ -24,7 +22,11 @@
     private String method = "";
     private String target = "";
     private int status;
-    private Map<String, String> headers = new LinkedHashMap<>();
+
+    /** The value of content-length; null until the field has been decoded. */
+    private String contentLength;
+
+    private final HttpFields.Builder fields = new HttpFields.Builder();
 
     /**
      * Creates a decoder at the start of a message.
@@ -46,6 +48,17 @@
         return lines.hasReceivedBytes();
     }
 
+    /** {@return the memory that is held for an incomplete head, in bytes} */
+    public int heldBytes() {
+        return lines.heldBytes() + method.length() + target.length() + fields.heldBytes();
+    }
+
+    /** Drops an incomplete head. */
+    public void discard() {
+        lines.discard();
+        reset();
+    }
+
     /**
      * Decodes the next head.
      *
@@ -67,12 +80,20 @@
     }
 
     private HttpHead completeHead() {
-        HttpHead head = new HttpHead(method, target, status, headers);
-        headers = new LinkedHashMap<>();
+        HttpHead head = new HttpHead(method, target, status, fields.build());
+        reset();
+        return head;
+    }
+
+    private void reset() {
         lines.resetLimit();
         emptyLines = 0;
         startLineDecoded = false;
-        return head;
+        method = "";
+        target = "";
+        status = 0;
+        contentLength = null;
+        fields.clear();
     }
 
     private void checkPartialLine(StringBuilder line) throws HttpDecodeException {
@@ -137,11 +158,12 @@
         }
         String value = line.substring(colon + 1).strip();
         if (!name.equals(CONTENT_LENGTH)) {
-            headers.merge(name, value, (first, next) -> first + ", " + next);
-        } else if (!headers.getOrDefault(name, value).equals(value)) {
+            fields.add(name, value);
+        } else if (contentLength == null) {
+            contentLength = value;
+            fields.add(name, value);
+        } else if (!contentLength.equals(value)) {
             throw new HttpDecodeException("two values of content-length");
-        } else {
-            headers.put(name, value);
         }
     }
 
--- a/protocol/src/main/java/sorrelhoist/protocol/http1/LineDecoder.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/http1/LineDecoder.java
@@ -7,10 +7,13 @@
  * reset.
  */
 final class LineDecoder {
+    /** Maximum capacity, in bytes, that is kept for the next line. */
+    private static final int MAX_RETAINED_CAPACITY = 256;
+
     private final int maxBytes;
     private final String limitMessage;
     private final PartialLineCheck check;
-    private final StringBuilder line = new StringBuilder();
+    private StringBuilder line = new StringBuilder();
 
     /** Bytes received since the limit was last reset. */
     private int receivedBytes;
@@ -47,6 +50,16 @@
         return receivedBytes > 0;
     }
 
+    /** {@return the memory that is held for an incomplete line, in bytes} */
+    int heldBytes() {
+        return line.capacity();
+    }
+
+    /** Drops an incomplete line. */
+    void discard() {
+        line = new StringBuilder();
+    }
+
     /** Resets the number of bytes that count towards the limit. */
     void resetLimit() {
         receivedBytes = 0;
@@ -75,7 +88,11 @@
             throw new HttpDecodeException("a line has to end with CR LF");
         }
         String text = line.substring(0, end);
-        line.setLength(0);
+        if (line.capacity() > MAX_RETAINED_CAPACITY) {
+            discard();
+        } else {
+            line.setLength(0);
+        }
         return text;
     }
 }
--- a/protocol/src/main/java/sorrelhoist/protocol/net/BlockingIoHandler.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/net/BlockingIoHandler.java
@@ -82,11 +82,22 @@
         try {
             return handler.run(new RoundedContext(context, readDelay));
         } catch (Error e) {
-            LOGGER.error("failed to handle a socket event; the event loop continues", e);
+            logFailure(e);
             return 0;
         }
     }
 
+    /**
+     * Logs an error that was survived. The log may lack what the error is about, such as memory.
+     */
+    private static void logFailure(Error survived) {
+        try {
+            LOGGER.error("failed to handle a socket event; the event loop continues", survived);
+        } catch (Error e) {
+            // The next failure is logged if it can be.
+        }
+    }
+
     @Override
     public void initialize() {
         handler.initialize();
--- a/protocol/src/main/java/sorrelhoist/protocol/net/LoopbackTransport.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/net/LoopbackTransport.java
@@ -45,15 +45,41 @@
      *
      * @param name prefix of the thread's name
      * @param readDelay notified of each poll of the event loop
+     * @param whenEnded runs as the last step of the loop's thread, whatever ended it. Netty's
+     *     termination future needs another thread, which cannot be started without memory
      * @return a group with only this event loop
      */
-    public static EventLoopGroup newEventLoop(String name, ReadDelayEstimator readDelay) {
+    public static EventLoopGroup newEventLoop(
+            String name, ReadDelayEstimator readDelay, Runnable whenEnded) {
         return new MultiThreadIoEventLoopGroup(
                 1,
-                new DefaultThreadFactory(name, true),
+                new EndReportingThreadFactory(name, whenEnded),
                 BlockingIoHandler.wrap(NioIoHandler.newFactory(), readDelay));
     }
 
+    /** Creates daemon threads that report their end, whether orderly or by an error. */
+    private static final class EndReportingThreadFactory extends DefaultThreadFactory {
+        private final Runnable whenEnded;
+
+        EndReportingThreadFactory(String name, Runnable whenEnded) {
+            super(name, true);
+            this.whenEnded = whenEnded;
+        }
+
+        @Override
+        public Thread newThread(Runnable task) {
+            return super.newThread(() -> runAndReport(task));
+        }
+
+        private void runAndReport(Runnable task) {
+            try {
+                task.run();
+            } finally {
+                whenEnded.run();
+            }
+        }
+    }
+
     /**
      * Listens on the loopback address.
      *
