--- a/adapter/src/main/java/sorrelhoist/adapter/JsonObjectReader.java
+++ b/adapter/src/main/java/sorrelhoist/adapter/JsonObjectReader.java
@@ -30,9 +30,11 @@
                     .build();
 
     private final int maxObjectBytes;
+    private final int maxObjectValues;
     private final JsonParser parser;
     private final Deque<OpenContainer> openContainers = new ArrayDeque<>();
     private int bytesSinceLastObject;
+    private int valuesSinceLastObject;
 
     /** An incomplete object or array; exactly one of the two components is not null. */
     private record OpenContainer(String name, Map<String, Object> fields, List<Object> elements) {
@@ -61,9 +63,12 @@
      * Creates a reader.
      *
      * @param maxObjectBytes the largest size of one object, in bytes
+     * @param maxObjectValues the largest number of values in one object, each of which takes more
+     *     memory than its text may have
      */
-    public JsonObjectReader(int maxObjectBytes) {
+    public JsonObjectReader(int maxObjectBytes, int maxObjectValues) {
         this.maxObjectBytes = maxObjectBytes;
+        this.maxObjectValues = maxObjectValues;
         try {
             this.parser = JSON.createNonBlockingByteArrayParser();
         } catch (IOException e) {
@@ -109,6 +114,7 @@
                 Map<String, Object> complete = accept(token);
                 if (complete != null) {
                     bytesSinceLastObject = 0;
+                    valuesSinceLastObject = 0;
                     return JsonObject.of(complete);
                 }
                 token = parser.nextToken();
@@ -121,6 +127,13 @@
         }
     }
 
+    private void countValue() throws InvalidMessageException {
+        if (++valuesSinceLastObject > maxObjectValues) {
+            throw new InvalidMessageException(
+                    "an object of more than " + maxObjectValues + " values");
+        }
+    }
+
     /** {@return the fields of the outermost object if this token ends it, else null} */
     private Map<String, Object> accept(JsonToken token)
             throws IOException, InvalidMessageException {
@@ -130,6 +143,9 @@
         if (openContainers.size() > MAX_DEPTH) {
             throw InvalidMessageException.malformedJson("nested more than " + MAX_DEPTH + " deep");
         }
+        if (token.isStructStart() || token.isScalarValue()) {
+            countValue();
+        }
         switch (token) {
             case START_OBJECT -> openContainers.push(OpenContainer.object(parser.currentName()));
             case START_ARRAY -> openContainers.push(OpenContainer.array(parser.currentName()));
--- a/adapter/src/test/java/sorrelhoist/adapter/JsonObjectReaderTest.java
+++ b/adapter/src/test/java/sorrelhoist/adapter/JsonObjectReaderTest.java
@@ -26,7 +26,7 @@
     void objectsDoNotDependOnWhiteSpaceOrChunks() throws InvalidMessageException {
         byte[] all = TWO.getBytes(StandardCharsets.UTF_8);
         for (int size = 1; size <= all.length; size++) {
-            JsonObjectReader reader = new JsonObjectReader(1000);
+            JsonObjectReader reader = new JsonObjectReader(1000, 1000);
             List<JsonObject> seen = new ArrayList<>();
             for (int at = 0; at < all.length; at += size) {
                 reader.feed(Arrays.copyOfRange(all, at, Math.min(all.length, at + size)));
@@ -49,11 +49,11 @@
                 new String[] {
                     "[1]", "{\"a\":}", "noise\n", "\"text\"", "7 ", "{\"a\":" + "[".repeat(80)
                 }) {
-            JsonObjectReader reader = new JsonObjectReader(1000);
+            JsonObjectReader reader = new JsonObjectReader(1000, 1000);
             reader.feed(bad.getBytes(StandardCharsets.UTF_8));
             assertThrows(InvalidMessageException.class, reader::next, bad);
         }
-        JsonObjectReader reader = new JsonObjectReader(1000);
+        JsonObjectReader reader = new JsonObjectReader(1000, 1000);
         assertThrows(
                 InvalidMessageException.class,
                 () -> {
@@ -68,7 +68,7 @@
 
     @Test
     void sizeLimitAppliesToEachObjectOfALongStream() throws InvalidMessageException {
-        JsonObjectReader reader = new JsonObjectReader(100);
+        JsonObjectReader reader = new JsonObjectReader(100, 3);
         for (int i = 0; i < 1000; i++) {
             reader.feed("\n{\"rev\":1}\n{\"r".getBytes(StandardCharsets.UTF_8));
             assertEquals(1, reader.next().getLong("rev", 0));
@@ -78,4 +78,15 @@
             reader.next();
         }
     }
+
+    /** Guards against an object whose values take many times the memory of its text. */
+    @Test
+    void theNumberOfValuesInAnObjectIsLimited() throws InvalidMessageException {
+        for (String value : new String[] {"{}", "[]", "1", "{\"a\":null}"}) {
+            JsonObjectReader reader = new JsonObjectReader(1_000_000, 1_000);
+            reader.feed(
+                    ("{\"a\":[" + (value + ",").repeat(2_000)).getBytes(StandardCharsets.UTF_8));
+            assertThrows(InvalidMessageException.class, reader::next, value);
+        }
+    }
 }
