--- a/protocol/src/main/java/sorrelhoist/protocol/http1/HttpBodyDecoder.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/http1/HttpBodyDecoder.java
@@ -32,6 +32,9 @@
      */
     private static final int MAX_SIZE_DIGITS = 7;
 
+    /** Maximum number of digits of content-length. */
+    private static final int MAX_LENGTH_DIGITS = 9;
+
     private final long declaredLength;
     private final LineDecoder lines =
             new LineDecoder(
@@ -75,13 +78,17 @@
     }
 
     private static HttpBodyDecoder ofLength(String text) throws HttpDecodeException {
-        if (!text.matches("[0-9]{1,9}")) {
+        if (text.isEmpty() || text.length() > MAX_LENGTH_DIGITS || !isDecimal(text)) {
             throw new HttpDecodeException("content-length is no number");
         }
         long length = Long.parseLong(text);
         return new HttpBodyDecoder(length == 0 ? State.COMPLETE : State.FIXED_LENGTH, length);
     }
 
+    private static boolean isDecimal(String text) {
+        return text.chars().allMatch(c -> c >= '0' && c <= '9');
+    }
+
     /**
      * {@return whether a message without a declared length has no content; the status of requests
      * is 0}
@@ -131,7 +138,7 @@
                     return nextPart(in, State.CHUNK_END);
                 }
                 default -> {
-                    String line = lines.next(in);
+                    String line = lines.next(in, state != State.TRAILERS);
                     if (line != null) {
                         decodeLine(line);
                     }
@@ -150,9 +157,9 @@
         return in.readSlice(size);
     }
 
-    private void checkPartialLine(StringBuilder line) throws HttpDecodeException {
-        char last = line.charAt(line.length() - 1);
-        if (state == State.CHUNK_SIZE && !mayBecomeSize(line)
+    private void checkPartialLine(StringBuilder line, int length) throws HttpDecodeException {
+        char last = line.charAt(length - 1);
+        if (state == State.CHUNK_SIZE && !mayBecomeSize(line, length)
                 || state == State.CHUNK_END && last != '\r') {
             throw new HttpDecodeException("a chunk's size is no number, or does not fit");
         }
@@ -162,14 +169,14 @@
      * {@return whether a partial line can still become a valid chunk size: hexadecimal digits,
      * optionally followed by white space or an extension}
      */
-    private static boolean mayBecomeSize(StringBuilder line) {
+    private static boolean mayBecomeSize(StringBuilder line, int length) {
         int digits = 0;
-        while (digits < line.length() && isHexDigit(line.charAt(digits))) {
+        while (digits < length && isHexDigit(line.charAt(digits))) {
             digits++;
         }
         return digits > 0
                 && digits <= MAX_SIZE_DIGITS
-                && (digits == line.length() || " \t;\r".indexOf(line.charAt(digits)) >= 0);
+                && (digits == length || " \t;\r".indexOf(line.charAt(digits)) >= 0);
     }
 
     private static boolean isHexDigit(char c) {
--- a/protocol/src/main/java/sorrelhoist/protocol/http1/HttpHeadDecoder.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/http1/HttpHeadDecoder.java
@@ -67,7 +67,7 @@
      * @throws HttpDecodeException if the head is invalid or exceeds the limit
      */
     public HttpHead next(ByteBuf in) throws HttpDecodeException {
-        for (String line = lines.next(in); line != null; line = lines.next(in)) {
+        for (String line = nextLine(in); line != null; line = nextLine(in)) {
             if (!startLineDecoded) {
                 decodeStartLineOrSkip(line);
             } else if (!line.isEmpty()) {
@@ -79,6 +79,10 @@
         return null;
     }
 
+    private String nextLine(ByteBuf in) throws HttpDecodeException {
+        return lines.next(in, !startLineDecoded);
+    }
+
     private HttpHead completeHead() {
         HttpHead head = new HttpHead(method, target, status, fields.build());
         reset();
@@ -96,19 +100,19 @@
         fields.clear();
     }
 
-    private void checkPartialLine(StringBuilder line) throws HttpDecodeException {
-        if (!startLineDecoded && !mayBecomeStartLine(line)) {
+    private void checkPartialLine(StringBuilder line, int length) throws HttpDecodeException {
+        if (!mayBecomeStartLine(line, length)) {
             throw invalidStartLine();
         }
     }
 
-    private boolean mayBecomeStartLine(StringBuilder line) {
-        int last = line.length() - 1;
+    private boolean mayBecomeStartLine(StringBuilder line, int length) {
+        int last = length - 1;
         if (line.charAt(0) == '\r') {
             return last == 0;
         }
         return decodesRequests
-                ? last > 0 || isToken(line.toString())
+                ? last > 0 || isToken(line.substring(0, 1))
                 : last >= HTTP_1.length() || line.charAt(last) == HTTP_1.charAt(last);
     }
 
--- a/protocol/src/main/java/sorrelhoist/protocol/http1/LineDecoder.java
+++ b/protocol/src/main/java/sorrelhoist/protocol/http1/LineDecoder.java
@@ -1,12 +1,18 @@
 package sorrelhoist.protocol.http1;
 
 import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
 
 /**
  * Decodes lines that end with CR LF incrementally. A size limit applies to all lines since its last
  * reset.
  */
 final class LineDecoder {
+    /** Length, in characters, up to which incomplete lines are checked. */
+    private static final int MAX_CHECKED_LENGTH = 16;
+
+    private static final byte LINE_FEED = '\n';
+
     /** Maximum capacity, in bytes, that is kept for the next line. */
     private static final int MAX_RETAINED_CAPACITY = 256;
 
@@ -24,12 +30,13 @@
      */
     interface PartialLineCheck {
         /**
-         * Checks a partial line. Called after each character.
+         * Checks a partial line. Called for each length up to {@link #MAX_CHECKED_LENGTH}.
          *
-         * @param line the received part of the line, at least one character
+         * @param line starts with the partial line
+         * @param length the length of the partial line, at least 1
          * @throws HttpDecodeException if it cannot become a valid line
          */
-        void check(StringBuilder line) throws HttpDecodeException;
+        void check(StringBuilder line, int length) throws HttpDecodeException;
     }
 
     /**
@@ -65,21 +72,44 @@
         receivedBytes = 0;
     }
 
-    /** {@return the next line without its line end, or null if more bytes are needed} */
-    String next(ByteBuf in) throws HttpDecodeException {
-        while (in.isReadable()) {
-            char c = (char) in.readUnsignedByte();
-            if (++receivedBytes > maxBytes) {
-                throw new HttpDecodeException(
-                        HttpDecodeException.HEADER_FIELDS_TOO_LARGE, limitMessage);
-            }
-            if (c == '\n') {
-                return completeLine();
-            }
-            line.append(c);
-            check.check(line);
+    /**
+     * Decodes the next line.
+     *
+     * @param in the received bytes
+     * @param checked whether the start of the line is checked before the line is complete
+     * @return the line without its line end, or null if more bytes are needed
+     */
+    String next(ByteBuf in, boolean checked) throws HttpDecodeException {
+        int lineFeed = in.indexOf(in.readerIndex(), in.writerIndex(), LINE_FEED);
+        int length = (lineFeed < 0 ? in.writerIndex() : lineFeed) - in.readerIndex();
+        count(length);
+        int start = line.length();
+        line.append(in.readCharSequence(length, StandardCharsets.ISO_8859_1));
+        if (checked) {
+            checkStart(start);
+        }
+        if (lineFeed < 0) {
+            return null;
+        }
+        in.skipBytes(1);
+        count(1);
+        return completeLine();
+    }
+
+    private void count(int bytes) throws HttpDecodeException {
+        receivedBytes += bytes;
+        if (receivedBytes > maxBytes) {
+            throw new HttpDecodeException(
+                    HttpDecodeException.HEADER_FIELDS_TOO_LARGE, limitMessage);
+        }
+    }
+
+    /** Checks the line as it was after each of its first characters, beginning at an index. */
+    private void checkStart(int from) throws HttpDecodeException {
+        int checkedLength = Math.min(line.length(), MAX_CHECKED_LENGTH);
+        for (int length = from + 1; length <= checkedLength; length++) {
+            check.check(line, length);
         }
-        return null;
     }
 
     private String completeLine() throws HttpDecodeException {
