Cut streams off only when their worker is silent, not when it is slow

A stream whose events came in pieces was cut while bytes came.

Cause: a constant of 2 s for all deployments, counted from the last complete event. It left out whether clients ask for the rest of a stream, and the bytes of an event that is not complete.

SilenceLimits decides by the three facts: the next event may take 4.6 s (2 s where clients ask for the rest), and an event that takes longer may go on while bytes come within 2 s.

--- a/core/src/main/java/sorrelhoist/core/request/Attempt.java
+++ b/core/src/main/java/sorrelhoist/core/request/Attempt.java
@@ -26,6 +26,9 @@
     /** When the latest token was received or the client resumed reading, whichever is later. */
     long lastTokenAt;
 
+    /** When the latest bytes of an opaque event were received, whether it was complete or not. */
+    long lastBytesAt;
+
     Attempt(
             RequestState request,
             AttemptId id,
--- a/core/src/main/java/sorrelhoist/core/request/Router.java
+++ b/core/src/main/java/sorrelhoist/core/request/Router.java
@@ -179,15 +179,7 @@
         handle(runningAttempt(time, id), attempt -> failures.failed(attempt, outcome, note, load));
     }
 
-    /**
-     * Called when a token was received.
-     *
-     * @param time the current time
-     * @param id ID of the attempt
-     * @param index index of the token, starting at 0
-     * @param text the text of the token
-     * @param attachment passed on with the token; dropped if the token is dropped
-     */
+    /** Called when the token at {@code index} was received; an attachment is passed on with it. */
     public void tokenReceived(long time, AttemptId id, int index, String text, Object attachment) {
         handle(
                 runningDecode(time, id),
@@ -202,6 +194,11 @@
                 attempt -> streams.tokenStreamCompleted(attempt, tokens, cachedTokens, load));
     }
 
+    /** Called when bytes of a stream of opaque events were received, a whole event or a part. */
+    public void opaqueBytesReceived(long time, AttemptId id) {
+        handle(runningDecode(time, id), streamMonitor::bytesReceived);
+    }
+
     /**
      * Called when an event of an answer was received that is forwarded unchanged ({@link
      * StreamSettings#opaqueEvents}). The router keeps no reference to the event.
--- a/core/src/main/java/sorrelhoist/core/request/StreamMonitor.java
+++ b/core/src/main/java/sorrelhoist/core/request/StreamMonitor.java
@@ -39,6 +39,11 @@
         attempt.lastTokenAt = clock.now();
     }
 
+    /** Called when bytes of an opaque event were received. */
+    void bytesReceived(Attempt attempt) {
+        attempt.lastBytesAt = clock.now();
+    }
+
     /** Cancels a stream that has been silent for too long; otherwise schedules the next check. */
     void checkSilence(Attempt attempt) {
         if (attempt.ended) {
@@ -48,7 +53,7 @@
             scheduleCheck(attempt);
             return;
         }
-        long silentMicros = clock.now() - attempt.lastTokenAt;
+        long silentMicros = clock.now() - Math.max(attempt.lastTokenAt, attempt.lastBytesAt);
         responses.log(
                 attempt.request,
                 "stream received no data for "
--- a/core/src/main/java/sorrelhoist/core/request/StreamSettings.java
+++ b/core/src/main/java/sorrelhoist/core/request/StreamSettings.java
@@ -11,8 +11,7 @@
  *     request class is idempotent
  * @param clientsResume whether clients reconnect by themselves for the rest of a stream that ended
  *     early
- * @param silenceTimeoutMicros how long a stream may be silent before it is considered dead, in
- *     microseconds; 0 to derive the timeout from the observed gaps between tokens
+ * @param silenceLimits how long a stream may be silent before its engine is considered dead
  * @param clientStallTimeoutMicros how long a client may stop reading a running answer before its
  *     request is cancelled, in microseconds
  */
@@ -21,7 +20,7 @@
         boolean endAtClientDeadline,
         boolean resumeBrokenStreams,
         boolean clientsResume,
-        long silenceTimeoutMicros,
+        SilenceLimits silenceLimits,
         long clientStallTimeoutMicros) {
     /**
      * {@return settings for streams of tokens} Such streams end at their client's deadline, and
@@ -30,7 +29,12 @@
     public static StreamSettings ofTokens(
             boolean resumeBrokenStreams, long clientStallTimeoutMicros) {
         return new StreamSettings(
-                false, true, resumeBrokenStreams, false, 0, clientStallTimeoutMicros);
+                false,
+                true,
+                resumeBrokenStreams,
+                false,
+                SilenceLimits.FROM_TOKEN_GAPS,
+                clientStallTimeoutMicros);
     }
 
     /**
@@ -38,8 +42,8 @@
      * streams.
      */
     public static StreamSettings ofOpaqueEvents(
-            boolean clientsResume, long silenceTimeoutMicros, long clientStallTimeoutMicros) {
+            boolean clientsResume, SilenceLimits silenceLimits, long clientStallTimeoutMicros) {
         return new StreamSettings(
-                true, false, false, clientsResume, silenceTimeoutMicros, clientStallTimeoutMicros);
+                true, false, false, clientsResume, silenceLimits, clientStallTimeoutMicros);
     }
 }
--- a/core/src/main/java/sorrelhoist/core/request/StreamTimeouts.java
+++ b/core/src/main/java/sorrelhoist/core/request/StreamTimeouts.java
@@ -16,16 +16,20 @@
     }
 
     /**
-     * {@return when a stream is considered dead unless a token is received before; Long.MAX_VALUE
-     * while its client is not reading}
+     * {@return when a stream is considered dead unless a token, or a part of an event, is received
+     * before; Long.MAX_VALUE while its client is not reading}
      */
     long deadAt(Attempt attempt) {
         if (attempt.request.blockedSince > 0) {
             return Long.MAX_VALUE;
         }
-        long fixed = settings.silenceTimeoutMicros();
-        long timeout = fixed > 0 ? fixed : tokenGaps.silenceTimeoutMicros(attempt.engineKind);
-        return attempt.lastTokenAt + timeout;
+        SilenceLimits limits = settings.silenceLimits();
+        if (limits.areFromTokenGaps()) {
+            return attempt.lastTokenAt + tokenGaps.silenceTimeoutMicros(attempt.engineKind);
+        }
+        return Math.max(
+                attempt.lastTokenAt + limits.eventMicros(),
+                attempt.lastBytesAt + limits.partialEventMicros());
     }
 
     /**
--- a/core/src/test/java/sorrelhoist/core/request/Fleet.java
+++ b/core/src/test/java/sorrelhoist/core/request/Fleet.java
@@ -100,7 +100,7 @@
                         capabilities,
                         plain.serverLimits()),
                 new RequestTimeouts(List.of(budget, budget, budget), List.of(0L, 0L, 0L), 0),
-                StreamSettings.ofOpaqueEvents(true, SECOND, STALL),
+                StreamSettings.ofOpaqueEvents(true, new SilenceLimits(SECOND, SECOND), STALL),
                 100,
                 ReleaseReach.ANY_ENGINE,
                 7);
--- a/core/src/test/java/sorrelhoist/core/request/OpaqueStreamsTest.java
+++ b/core/src/test/java/sorrelhoist/core/request/OpaqueStreamsTest.java
@@ -28,7 +28,8 @@
                             Fleet.decide(true),
                             new RequestTimeouts(
                                     List.of(Long.MAX_VALUE / 4, 0L, 0L), List.of(0L, 0L, 0L), 0),
-                            StreamSettings.ofOpaqueEvents(true, SILENCE, Fleet.STALL),
+                            StreamSettings.ofOpaqueEvents(
+                                    true, new SilenceLimits(SILENCE, SILENCE), Fleet.STALL),
                             100,
                             ReleaseReach.ANY_ENGINE,
                             7),
@@ -103,6 +104,20 @@
         assertEquals(w.attempt(), last(Command.CancelAttempt.class).attempt());
     }
 
+    /** Guards against a cut of a stream whose engine still sends parts of an event. */
+    @Test
+    void bytesOfAnEventKeepAStreamAlive() {
+        Command.StartDecode w = startDecode();
+        router.opaqueEventReceived(20_000, w.attempt(), "e");
+        for (long t = 3 * Fleet.SECOND; t <= 9 * Fleet.SECOND; t += 3 * Fleet.SECOND) {
+            router.opaqueBytesReceived(t, w.attempt());
+            advance(t, t + 3 * Fleet.SECOND - 1000);
+        }
+        assertEquals(0, count(Command.FinishRequest.class));
+        advance(12 * Fleet.SECOND, 13 * Fleet.SECOND + 30_000);
+        assertInstanceOf(RequestResult.Failed.class, last(Command.FinishRequest.class).result());
+    }
+
     @Test
     void aGracefulShutdownMigratesOnlyStreamsThatHaveBegun() {
         Command.StartDecode w = startDecode();
--- a/core/src/test/java/sorrelhoist/core/request/StreamMigrationTest.java
+++ b/core/src/test/java/sorrelhoist/core/request/StreamMigrationTest.java
@@ -15,7 +15,8 @@
 
     private StreamMigration migration(boolean clientsResume) {
         StreamSettings settings =
-                StreamSettings.ofOpaqueEvents(clientsResume, Fleet.SECOND, Fleet.STALL);
+                StreamSettings.ofOpaqueEvents(
+                        clientsResume, new SilenceLimits(Fleet.SECOND, Fleet.SECOND), Fleet.STALL);
         return new StreamMigration(settings, core.requests, core.failures);
     }
 
--- a/core/src/test/java/sorrelhoist/core/request/StreamTimeoutsTest.java
+++ b/core/src/test/java/sorrelhoist/core/request/StreamTimeoutsTest.java
@@ -1,6 +1,7 @@
 package sorrelhoist.core.request;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 
@@ -20,12 +21,44 @@
     @Test
     void aFixedTimeoutCountsFromTheLatestToken() {
         StreamTimeouts timeouts =
-                new StreamTimeouts(StreamSettings.ofOpaqueEvents(true, 900_000, Fleet.STALL), 1);
+                new StreamTimeouts(
+                        StreamSettings.ofOpaqueEvents(
+                                true, new SilenceLimits(900_000, 900_000), Fleet.STALL),
+                        1);
         Attempt attempt = attempt();
         attempt.lastTokenAt = 100;
         assertEquals(900_100, timeouts.deadAt(attempt));
     }
 
+    /** Guards against a limit that a slow engine passes, or that a client must not wait for. */
+    @Test
+    void aStreamThatCannotBeResumedMayBeSilentForAlmostFiveSeconds() {
+        StreamTimeouts timeouts =
+                new StreamTimeouts(
+                        StreamSettings.ofOpaqueEvents(
+                                false, SilenceLimits.ofOpaqueEvents(false), Fleet.STALL),
+                        1);
+        Attempt attempt = attempt();
+        attempt.lastTokenAt = 10 * Fleet.SECOND;
+        attempt.lastBytesAt = attempt.lastTokenAt;
+        long silence = timeouts.deadAt(attempt) - attempt.lastTokenAt;
+        assertTrue(silence > 4_500_000 && silence < 4_900_000, silence + " us");
+        attempt.lastBytesAt = 18 * Fleet.SECOND;
+        assertEquals(20 * Fleet.SECOND, timeouts.deadAt(attempt));
+    }
+
+    /** Guards against a cut of a stream that becomes ten times slower in its middle. */
+    @Test
+    void gapsOfAnEngineThatSlowsDownTenTimesAreBelowTheTimeout() {
+        for (long gap = 1000; gap <= 500_000; gap += 1000) {
+            TokenGapEstimator gaps = new TokenGapEstimator(1);
+            for (int i = 0; i < 1000; i++) {
+                gaps.record(0, gap);
+            }
+            assertTrue(gaps.silenceTimeoutMicros(0) > 10 * gap, gap + " us");
+        }
+    }
+
     @Test
     void aStreamIsNeverDeadWhileItsClientDoesNotRead() {
         Attempt attempt = attempt();
