--- a/core/src/main/java/sorrelhoist/core/request/RequestState.java
+++ b/core/src/main/java/sorrelhoist/core/request/RequestState.java
@@ -51,6 +51,9 @@
     /** Since when the client has not been reading; 0 while it reads. */
     long blockedSince;
 
+    /** Whether a check for a stalled client is scheduled. */
+    boolean stallCheckScheduled;
+
     /** The attempt whose outcome is not known yet, or null if none is running. */
     Attempt runningAttempt;
 
--- a/core/src/main/java/sorrelhoist/core/request/RequestTermination.java
+++ b/core/src/main/java/sorrelhoist/core/request/RequestTermination.java
@@ -33,14 +33,8 @@
         stopWork(request, RequestPhase.Transition.CLIENT_DISCONNECTED);
     }
 
-    /**
-     * Ends the request of a client that has not read since {@code blockedSince}. Does nothing if
-     * the client has resumed reading in the meantime.
-     */
-    void clientStalled(RequestState request, long blockedSince) {
-        if (request.finished || request.blockedSince != blockedSince) {
-            return;
-        }
+    /** Ends the request of a client that has not read its answer for too long. */
+    void clientStalled(RequestState request) {
         long timeoutMillis = clientStallTimeoutMicros / MICROS_PER_MILLI;
         String message = "the client did not read its answer for " + timeoutMillis + " ms";
         responses.finish(request, new RequestResult.Stalled(message));
--- a/core/src/main/java/sorrelhoist/core/request/Router.java
+++ b/core/src/main/java/sorrelhoist/core/request/Router.java
@@ -131,6 +131,15 @@
         }
     }
 
+    /** Called when a blocked client has read some, but not all, of what waits for it. */
+    public void clientReadSome(long time, long clientId) {
+        clock.advanceTo(time);
+        RequestState request = requests.byClientId(clientId);
+        if (request != null) {
+            streamMonitor.clientReadSome(request);
+        }
+    }
+
     /** Called during the start command of an attempt if it first has to connect. */
     public void attemptConnecting(long time, AttemptId id) {
         Attempt attempt = runningAttempt(time, id);
@@ -166,13 +175,8 @@
     }
 
     /**
-     * Called when an attempt ended without success.
-     *
-     * @param time the current time
-     * @param id ID of the attempt
-     * @param outcome how the attempt ended; neither DONE nor READ
-     * @param note 1 with outcome FULL if there was no prefill state to fetch; otherwise 0
-     * @param load the engine's load report, or {@link ServerLoad#NONE}
+     * Called when an attempt ended with an outcome other than DONE and READ; {@code note} is 1 with
+     * FULL if there was no prefill state to fetch, otherwise 0.
      */
     public void attemptFailed(
             long time, AttemptId id, Outcome outcome, long note, ServerLoad load) {
@@ -200,13 +204,8 @@
     }
 
     /**
-     * Called when an event of an answer was received that is forwarded unchanged ({@link
-     * StreamSettings#opaqueEvents}). The router keeps no reference to the event.
-     *
-     * @param time the current time
-     * @param id ID of the attempt
-     * @param attachment the event, passed on in the command that delivers it
-     * @return whether the event was passed on; if not, the caller still owns it
+     * Called when an event of an answer was received that is forwarded unchanged as an attachment.
+     * {@return whether it was passed on; if not, the caller still owns it}
      */
     public boolean opaqueEventReceived(long time, AttemptId id, Object attachment) {
         Attempt attempt = runningDecode(time, id);
--- a/core/src/main/java/sorrelhoist/core/request/RouterTimer.java
+++ b/core/src/main/java/sorrelhoist/core/request/RouterTimer.java
@@ -17,6 +17,6 @@
     /** Checks that a request that has not begun to stream has its final result. */
     record ResultOverdue(long clientId) implements RouterTimer {}
 
-    /** Checks whether the client has not been reading since {@code blockedSince}. */
-    record ClientStall(RequestState request, long blockedSince) implements RouterTimer {}
+    /** Checks whether the client has not read any of its answer for too long. */
+    record ClientStall(RequestState request) implements RouterTimer {}
 }
--- a/core/src/main/java/sorrelhoist/core/request/StreamMonitor.java
+++ b/core/src/main/java/sorrelhoist/core/request/StreamMonitor.java
@@ -74,9 +74,7 @@
         }
         if (blocked) {
             request.blockedSince = Math.max(1, clock.now());
-            timers.schedule(
-                    clock.now() + clientStallTimeoutMicros,
-                    new RouterTimer.ClientStall(request, request.blockedSince));
+            scheduleStallCheck(request);
             return;
         }
         request.blockedSince = 0;
@@ -85,6 +83,38 @@
         }
     }
 
+    /** Called when a blocked client has read some of its answer: it is slow, not stalled. */
+    void clientReadSome(RequestState request) {
+        if (request.blockedSince > 0) {
+            request.blockedSince = Math.max(1, clock.now());
+        }
+    }
+
+    /**
+     * {@return whether a client has not read for too long} If it has not, schedules the next check
+     * as long as the client is blocked.
+     */
+    boolean isStalled(RequestState request) {
+        request.stallCheckScheduled = false;
+        if (request.finished || request.blockedSince == 0) {
+            return false;
+        }
+        if (clock.now() - request.blockedSince >= clientStallTimeoutMicros) {
+            return true;
+        }
+        scheduleStallCheck(request);
+        return false;
+    }
+
+    private void scheduleStallCheck(RequestState request) {
+        if (!request.stallCheckScheduled) {
+            request.stallCheckScheduled = true;
+            timers.schedule(
+                    request.blockedSince + clientStallTimeoutMicros,
+                    new RouterTimer.ClientStall(request));
+        }
+    }
+
     private void scheduleCheck(Attempt attempt) {
         timers.schedule(
                 timeouts.nextCheckAt(attempt, clock.now()), new RouterTimer.StreamSilence(attempt));
--- a/core/src/main/java/sorrelhoist/core/request/TimerDispatcher.java
+++ b/core/src/main/java/sorrelhoist/core/request/TimerDispatcher.java
@@ -35,8 +35,9 @@
             termination.clientDeadlineReached(due.request());
         } else if (timer instanceof RouterTimer.ResultOverdue due) {
             resultOverdue(due.clientId());
-        } else if (timer instanceof RouterTimer.ClientStall due) {
-            termination.clientStalled(due.request(), due.blockedSince());
+        } else if (timer instanceof RouterTimer.ClientStall due
+                && streamMonitor.isStalled(due.request())) {
+            termination.clientStalled(due.request());
         }
     }
 
