Do not run a request again under an ID that may have run before

A request of a class that may not be repeated was sent to the workers again when its ID came again after its client had left or was answered: two runs under one ID, in three of three cases.

Cause: an ID was known only while its client waited. The protocol says that IDs are new with every request; the rule that no effect happens twice outranks it.

Their repeats fail and are not sent. Classes that are safe to repeat are served as before, and the gRPC edge, whose IDs are not unique, remembers none.

--- a/core/src/main/java/sorrelhoist/core/request/ClientResponses.java
+++ b/core/src/main/java/sorrelhoist/core/request/ClientResponses.java
@@ -8,16 +8,19 @@
 /** Delivers responses to clients: tokens, then exactly one final result and nothing after it. */
 final class ClientResponses {
     private final RequestTable requests;
+    private final ExecutedRequestIds executed;
     private final RouterClock clock;
     private final DecisionListener listener;
     private final Consumer<Command> commands;
 
     ClientResponses(
             RequestTable requests,
+            ExecutedRequestIds executed,
             RouterClock clock,
             DecisionListener listener,
             Consumer<Command> commands) {
         this.requests = requests;
+        this.executed = executed;
         this.clock = clock;
         this.listener = listener;
         this.commands = commands;
@@ -34,6 +37,9 @@
             return;
         }
         requests.finish(request);
+        if (!(result instanceof RequestResult.Refused)) {
+            executed.requestEnded(request, result instanceof RequestResult.Served);
+        }
         report(request, completionOf(result), result.reason());
         commands.accept(new Command.FinishRequest(request.clientId, result));
     }
@@ -44,6 +50,7 @@
      */
     void clientDisconnected(RequestState request) {
         requests.finish(request);
+        executed.requestEnded(request, false);
         report(request, RecordEntry.Completion.LEFT, Reason.UNKNOWN);
     }
 
--- a/core/src/main/java/sorrelhoist/core/request/RequestAdmission.java
+++ b/core/src/main/java/sorrelhoist/core/request/RequestAdmission.java
@@ -3,20 +3,26 @@
 import sorrelhoist.routing.Reason;
 
 /**
- * Admission control of the router itself: rejects requests beyond the limit of open requests, and
- * all requests once the router is draining.
+ * Admission control of the router itself: rejects requests beyond the limit of open requests,
+ * requests that must not run again, and all requests once the router is draining.
  */
 final class RequestAdmission {
     private static final long RETRY_AFTER_MICROS = 500_000;
 
     private final int maxOpenRequests;
     private final RequestTable requests;
+    private final ExecutedRequestIds executed;
     private final ClientResponses responses;
     private boolean draining;
 
-    RequestAdmission(int maxOpenRequests, RequestTable requests, ClientResponses responses) {
+    RequestAdmission(
+            int maxOpenRequests,
+            RequestTable requests,
+            ExecutedRequestIds executed,
+            ClientResponses responses) {
         this.maxOpenRequests = maxOpenRequests;
         this.requests = requests;
+        this.executed = executed;
         this.responses = responses;
     }
 
@@ -29,10 +35,16 @@
     }
 
     /**
-     * Rejects a request that has just been opened if the router is full or draining. {@return
-     * whether the request is admitted}
+     * Rejects a request that has just been opened if the router is full or draining, or if it may
+     * have run before. {@return whether the request is admitted}
      */
     boolean admit(RequestState request) {
+        if (executed.mayHaveRun(request)) {
+            request.apply(RequestPhase.Transition.REJECTED);
+            String message = "a request with this ID may have run, and its class is not idempotent";
+            responses.finish(request, new RequestResult.Failed(message, false, Reason.UNKNOWN));
+            return false;
+        }
         if (!draining && requests.openCount() <= maxOpenRequests) {
             return true;
         }
--- a/core/src/main/java/sorrelhoist/core/request/RequestComponents.java
+++ b/core/src/main/java/sorrelhoist/core/request/RequestComponents.java
@@ -36,12 +36,14 @@
         RoutingPolicy policy = new RoutingPolicy(settings.routing(), settings.seed());
         decisions = new DecisionLoop(policy, listener, clock);
         reservations = new RequestReservations(settings, clock, commands);
-        responses = new ClientResponses(requests, clock, listener, commands);
+        idempotencyWindow = new IdempotencyWindow(settings.routing().classes());
+        ExecutedRequestIds executed =
+                new ExecutedRequestIds(settings.streams().opaqueEvents(), idempotencyWindow, clock);
+        responses = new ClientResponses(requests, executed, clock, listener, commands);
         RequestSubmitter submitter =
                 new RequestSubmitter(settings, requests, clock, listener, decisions);
         intake = new RequestIntake(settings, requests, submitter, timers, clock);
-        admission = new RequestAdmission(settings.maxOpenRequests(), requests, responses);
-        idempotencyWindow = new IdempotencyWindow(settings.routing().classes());
+        admission = new RequestAdmission(settings.maxOpenRequests(), requests, executed, responses);
         deliveries = new AttemptDeliveries(settings, clock, reservations, decisions, commands);
         attempts = new AttemptTracker(clock, decisions, reservations, deliveries);
         StreamRecovery recovery =
--- a/core/src/test/java/sorrelhoist/core/request/RequestAdmissionTest.java
+++ b/core/src/test/java/sorrelhoist/core/request/RequestAdmissionTest.java
@@ -13,12 +13,17 @@
 class RequestAdmissionTest {
     private final List<Command> commands = new ArrayList<>();
     private final RequestTable requests = new RequestTable();
+    private final RouterClock clock = new RouterClock();
+    private final ExecutedRequestIds executed =
+            new ExecutedRequestIds(
+                    true, new IdempotencyWindow(Fleet.decide(true).classes()), clock);
     private final RequestAdmission admission =
             new RequestAdmission(
                     1,
                     requests,
+                    executed,
                     new ClientResponses(
-                            requests, new RouterClock(), DecisionListener.NONE, commands::add));
+                            requests, executed, clock, DecisionListener.NONE, commands::add));
 
     private RequestState open() {
         return requests.open(Fleet.call(Fleet.SAFE, 10, 0), RequestState.NO_DEADLINE);
