--- a/core/src/main/java/sorrelhoist/core/request/ExecutedRequestIds.java
+++ b/core/src/main/java/sorrelhoist/core/request/ExecutedRequestIds.java
@@ -45,6 +45,7 @@
                         || request.runningAttempt != null;
         if (mayHaveRun) {
             removeExpired();
+            removeEarliestIfFull();
             rememberedUntil.remove(request.parameters.clientRequestId());
             rememberedUntil.put(
                     request.parameters.clientRequestId(), clock.now() + RETENTION_MICROS);
@@ -66,9 +67,14 @@
 
     private void removeExpired() {
         Iterator<Long> earliest = rememberedUntil.values().iterator();
-        while (earliest.hasNext()
-                && (earliest.next() <= clock.now() || rememberedUntil.size() >= MAX_IDS)) {
+        while (earliest.hasNext() && earliest.next() <= clock.now()) {
             earliest.remove();
         }
     }
+
+    private void removeEarliestIfFull() {
+        if (rememberedUntil.size() == MAX_IDS) {
+            rememberedUntil.remove(rememberedUntil.keySet().iterator().next());
+        }
+    }
 }
--- a/core/src/main/java/sorrelhoist/core/request/Router.java
+++ b/core/src/main/java/sorrelhoist/core/request/Router.java
@@ -200,7 +200,10 @@
 
     /** Called when bytes of a stream of opaque events were received, a whole event or a part. */
     public void opaqueBytesReceived(long time, AttemptId id) {
-        handle(runningDecode(time, id), streamMonitor::bytesReceived);
+        Attempt attempt = runningDecode(time, id);
+        if (attempt != null) {
+            streamMonitor.bytesReceived(attempt);
+        }
     }
 
     /**
